--- /dev/null
+++ b/petrelthread/controller.py
@@ -0,0 +1,304 @@
+"""One controller: the slices put together, and who is told of what."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from typing import Any
+
+import msgspec
+
+from petrelthread import wire
+from petrelthread.fleet import Dispatch, Fleet
+from petrelthread.http import Response, answer
+from petrelthread.http.server import refusal
+from petrelthread.intake import Intake
+from petrelthread.leadership import Election, Role
+from petrelthread.ledger import Book, Claims, NamesBook, Outcome
+from petrelthread.peers import Gossip, Hello
+from petrelthread.peers.gossip import HELLO_PATH
+from petrelthread.placement.rounds import Estimates, Rounds
+from petrelthread.rental import CloudClient, Options
+from petrelthread.rental.keeper import Keeper
+from petrelthread.settings import Settings
+from petrelthread.store import ROOT, Budget, Mirror, Request, StateClient
+
+log = logging.getLogger(__name__)
+
+STATE_SHARE = 0.9  # of the service's limits, over all controllers
+LEADER_WRITES = 0.6
+ABSTAIN_S = 15.0
+READY_S = 3.0
+
+
+class Controller:
+    def __init__(self, settings: Settings, request: Request, randomness: random.Random) -> None:
+        self.settings = settings
+        cluster = settings.cluster
+        workers = cluster.workers
+        nodes = max(1, cluster.count)
+        rps, wps = cluster.state.rps * STATE_SHARE, cluster.state.write_rps * STATE_SHARE
+        self._reads = Budget(rps / nodes, rps / nodes / 2)
+        self._writes = Budget(wps / nodes, wps / 2)
+        self._write_rates = (wps * LEADER_WRITES, wps * (1 - LEADER_WRITES) / max(1, nodes - 1))
+        names = NamesBook([team.name for team in cluster.teams], cluster.zones)
+        self.book = Book(names)
+        state = StateClient(request, settings.endpoints.state, self._reads, self._writes)
+        self.mirror = Mirror(state, self._on_key, gap_s=0.15)
+        hold_over_s = settings.hold_over_s
+        self.election = Election(
+            settings.host_name,
+            state,
+            self.mirror,
+            hold_over_s,
+            randomness,
+            self._on_elected,
+            self._on_role,
+        )
+        self.fleet = Fleet(self.book, workers.lease_s, workers.report_s, hold_over_s)
+        claims = Claims(state, self.election.fence)
+        self._claims = claims
+        estimates = Estimates()
+        self.rounds = Rounds(
+            settings,
+            self.book,
+            self.fleet,
+            claims,
+            Dispatch(self.fleet, request),
+            lambda: self.keeper.hulls,
+            estimates,
+            self.mirror.fresh,
+        )
+        cloud_rate = cluster.cloud.rps * 0.85
+        cloud = CloudClient(request, settings.endpoints.cloud, Budget(cloud_rate, cloud_rate))
+        self.options = Options()
+        self.keeper = Keeper(
+            settings,
+            self.book,
+            self.fleet,
+            claims,
+            cloud,
+            self.rounds,
+            lambda: self.options,
+            lambda: self.election.leading,
+        )
+        self.fleet.on_change = self.rounds.wake.set
+        self.fleet.on_class_time = estimates.learn
+        self.fleet.cache_gb = self._cache_gb
+        self.intake = Intake(settings, self.book, self.mirror, state, self.keeper.catalog)
+        self.gossip = Gossip(settings.siblings, request, self._hello, self._on_hello)
+        self._reports: list[float] = []
+        self._silent_s = 2.5 * workers.report_s + 4.0
+
+    def _cache_gb(self, kind: int) -> float:
+        hull = self.keeper.hulls.get(kind)
+        return hull.local_gb if hull else 1e9
+
+    # ---- what the state service shows ----------------------------------------------------------
+
+    def _on_key(self, key: str, value: Any, stamp: int) -> None:
+        if key in ("lead", "epoch"):
+            self.election.on_key(key, value, stamp)
+            return
+        if key == "catalog" and value is not None:
+            try:
+                self.keeper.set_catalog(msgspec.convert(value, wire.Catalog))
+            except msgspec.ValidationError as error:
+                log.warning("stored catalogue unusable: %s", error)
+        before = len(self.book.jobs)
+        kind, _, rest = key.partition("/")
+        leading = self.election.role is Role.LEADING
+        late = leading and kind == "r" and value is not None and int(rest) not in self.book.rounds
+        self.book.on_key(key, value, stamp)
+        if late and int(rest) >> 20 == self.election.epoch:
+            # A claim of ours that counted although we had given it up: nothing of it was sent.
+            self.book.close_round(int(rest))
+            self.book.rounds[int(rest)] = set()
+        if kind == "j" and len(self.book.jobs) > before and leading:
+            job = self.book.jobs[-1]
+            now = asyncio.get_running_loop().time()
+            self.keeper.note_accepted(job.jobclass, job.tasks * job.cores, now)
+            self.rounds.wake.set()
+            self.keeper.wake.set()
+        elif kind == "f" and leading:
+            self.rounds.wake.set()
+
+    # ---- leadership ------------------------------------------------------------------------------
+
+    def _on_role(self, role: Role) -> None:
+        acting = role in (Role.TAKING_OVER, Role.LEADING, Role.HOLDING_OVER)
+        self._writes.rate = self._write_rates[0 if acting else 1]
+        self.mirror.gap_s = 0.03 if acting else 0.15
+
+    async def _on_elected(self) -> None:
+        now = asyncio.get_running_loop().time()
+        epoch = self.election.epoch
+        self.fleet.take_over(epoch, now)
+        self.rounds.take_over(epoch)
+        self.keeper.take_over(now)
+        self._reports.clear()
+        unknown = sum(len(there) for there in self.book.on_machine.values())
+        log.info(
+            "take-over with epoch %d: %d open jobs, %d starts and %d cloud calls to settle",
+            epoch,
+            len(self.book.open),
+            unknown,
+            len(self.keeper.ops),
+        )
+        self.rounds.wake.set()
+
+    def _hello(self) -> Hello:
+        now = asyncio.get_running_loop().time()
+        return Hello(
+            self.settings.host_name,
+            self.election.known_epoch,
+            self.election.leading,
+            now - self.mirror.last_ok < READY_S,
+            self._recent_reports(now),
+            self.settings.zone,
+        )
+
+    def _on_hello(self, hello: Hello) -> None:
+        self.election.saw_epoch(hello.epoch)
+
+    def _recent_reports(self, now: float) -> int:
+        window = 2 * self.settings.cluster.workers.report_s
+        while self._reports and now - self._reports[0] > window:
+            self._reports.pop(0)
+        return len(self._reports)
+
+    # ---- requests --------------------------------------------------------------------------------
+
+    async def handle(self, method: str, target: str, body: bytes) -> Response:
+        path = target.partition("?")[0]
+        if path == wire.CHECKIN_PATH:
+            return self._checkin(body) if method == "POST" else refusal(405, "use POST")
+        if path == wire.JOBS_PATH or path.startswith(wire.JOBS_PATH + "/"):
+            return await self.intake.handle(method, path, body)
+        if path == wire.READY_PATH:
+            return self._ready() if method == "GET" else refusal(405, "use GET")
+        return refusal(404, "no such path")
+
+    async def handle_peer(self, method: str, target: str, body: bytes) -> Response:
+        path = target.partition("?")[0]
+        if path == HELLO_PATH:
+            return await self.gossip.handle(method, body)
+        return refusal(404, "no such path")
+
+    def _ready(self) -> Response:
+        now = asyncio.get_running_loop().time()
+        if not self.mirror.loaded.is_set() or not self.keeper.hulls:
+            return refusal(503, "still starting", 1)
+        # Refused by the state service alone, others serve better. If it is down for all, to leave
+        # would only add the way back to the outage.
+        alone = any(hello.state_ok for hello in self.gossip.fresh(3.0))
+        if alone and now - self.mirror.last_ok > READY_S:
+            return refusal(503, "state service unreachable", 1)
+        return answer(200, {"ready": True})
+
+    def _checkin(self, body: bytes) -> Response:
+        try:
+            report = wire.parse_report(body)
+        except wire.BadRequest as error:
+            return refusal(400, str(error))
+        now = asyncio.get_running_loop().time()
+        self._reports.append(now)
+        self._recent_reports(now)
+        election = self.election
+        election.saw_epoch(report.baton)
+        if not election.acting:
+            home = election.home
+            if home == self.settings.host_name:
+                home = None
+            return answer(421, wire.go_to(home))
+        if election.role is Role.TAKING_OVER:
+            return answer(200, wire.checkin_answer(election.epoch, []))
+        machine = self.fleet.on_report(report, now, answered=True)
+        orders = []
+        if machine is not None and election.leading:
+            orders = self.fleet.orders(machine, report, now)
+        return answer(200, wire.checkin_answer(election.epoch, orders))
+
+    # ---- loops -----------------------------------------------------------------------------------
+
+    async def run(self) -> None:
+        await asyncio.gather(
+            self.mirror.follow(),
+            self.election.run(),
+            self.gossip.run(),
+            self._round_loop(),
+            self._keeper_loop(),
+            self._housekeeping(),
+        )
+
+    async def _round_loop(self) -> None:
+        wake = self.rounds.wake
+        while True:
+            try:
+                async with asyncio.timeout(1.0):
+                    await wake.wait()
+            except TimeoutError:
+                pass
+            wake.clear()
+            if not self.election.leading:
+                await asyncio.sleep(0.05)
+                continue
+            now = asyncio.get_running_loop().time()
+            try:
+                self.fleet.tick_silence(now, self._silent_s)
+                if await self.rounds.round(now):
+                    wake.set()
+            except Exception:
+                log.exception("round failed")
+            await asyncio.sleep(self.rounds.gap_s)
+
+    async def _keeper_loop(self) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(1.0):
+                    await self.keeper.wake.wait()
+            except TimeoutError:
+                pass
+            self.keeper.wake.clear()
+            now = asyncio.get_running_loop().time()
+            try:
+                if self.election.leading:
+                    await self.keeper.step(now)
+                    await self._store_catalog()
+                elif not self.keeper.hulls:
+                    await self.keeper.read_catalog(now)
+            except Exception:
+                log.exception("rental step failed")
+            await asyncio.sleep(0.5)
+
+    async def _store_catalog(self) -> None:
+        """So that a controller started while the cloud is down still knows the machine types."""
+        if self.book.catalog is not None or not self.keeper.hulls:
+            return
+        value = msgspec.to_builtins(wire.Catalog(self.keeper.catalog() or ()))
+        if len(msgspec.json.encode(value)) > self.settings.cluster.state.value_kb * 1000:
+            return
+        outcome, _ = await self._claims.claim([wire.put(ROOT + "catalog", value)], "catalog")
+        if outcome is Outcome.WON:
+            self.book.catalog = value
+
+    async def _housekeeping(self) -> None:
+        while True:
+            await asyncio.sleep(0.5)
+            now = asyncio.get_running_loop().time()
+            if self.mirror.loaded.is_set() and now - self.mirror.last_ok > 1.0:
+                await self.mirror.fresh()
+            await self._judge_hearing(now)
+
+    async def _judge_hearing(self, now: float) -> None:
+        """A leader that no worker reaches, while its siblings hear them, gives the lead away."""
+        election = self.election
+        window = 2 * self.settings.cluster.workers.report_s
+        if not election.leading or now - election.elected_at < window + 4.0:
+            return
+        if self._recent_reports(now) == 0:
+            heard = sum(hello.workers for hello in self.gossip.fresh(3.0))
+            if heard >= 2:
+                log.info("no worker reaches this node, siblings hear %d reports", heard)
+                await election.resign("workers do not reach this node", ABSTAIN_S)
--- /dev/null
+++ b/petrelthread/fleet/__init__.py
@@ -0,0 +1,7 @@
+"""Machines and their workers: what each one last said, and what it must be told."""
+
+from petrelthread.fleet.dispatch import Dispatch
+from petrelthread.fleet.machine import Health, Machine
+from petrelthread.fleet.table import Fleet
+
+__all__ = ["Dispatch", "Fleet", "Health", "Machine"]
--- /dev/null
+++ b/petrelthread/fleet/dispatch.py
@@ -0,0 +1,78 @@
+"""Direct commands: the quick way to start what a claim has just allowed."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import Any
+
+from petrelthread import wire
+from petrelthread.fleet.machine import Machine
+from petrelthread.fleet.table import Fleet
+from petrelthread.http import NoAnswer
+from petrelthread.ledger import Attempt, Op, move
+from petrelthread.store import Request
+
+log = logging.getLogger(__name__)
+
+AT_ONCE = 24
+ANSWER_S = 2.0
+
+
+class Dispatch:
+    def __init__(self, fleet: Fleet, request: Request) -> None:
+        self._fleet = fleet
+        self._request = request
+        self._room = asyncio.Semaphore(AT_ONCE)
+
+    def launch(self, attempts: list[Attempt]) -> None:
+        """Send starts whose claim was won. What is lost on the way rides on check-in answers."""
+        by_machine: dict[int, list[Attempt]] = {}
+        for attempt in attempts:
+            by_machine.setdefault(attempt.machine, []).append(attempt)
+        for index, there in by_machine.items():
+            machine = self._fleet.machines.get(index)
+            if machine is not None and machine.addr:
+                asyncio.create_task(self._send(machine, there, self._fleet.epoch))
+
+    async def _send(self, machine: Machine, attempts: list[Attempt], token: int) -> None:
+        fleet = self._fleet
+        session = machine.session
+        machine.sending += 1
+        reply = None
+        try:
+            async with self._room:
+                going = [
+                    a
+                    for a in attempts
+                    if a.state is Op.DISPATCHING and a.session == session and not a.job.final
+                ]
+                if not going or fleet.epoch != token:
+                    return
+                orders: list[dict[str, Any]] = [
+                    wire.launch(a.job.id, a.task, a.number) for a in going
+                ]
+                body = wire.do_request(token, session, orders)
+                try:
+                    reply = await self._request(
+                        machine.addr, "POST", wire.DO_PATH, body, timeout=ANSWER_S
+                    )
+                except NoAnswer as error:
+                    log.debug("machine %s: no answer to commands: %s", machine.name, error)
+                    if error.sent:
+                        for a in going:
+                            machine.unsure[a.job.index, a.task, a.number] = token
+                            if a.state is Op.DISPATCHING:
+                                move(a, Op.UNKNOWN)
+        finally:
+            machine.sending = max(0, machine.sending - 1)
+        if reply is None or fleet.epoch != token:
+            return
+        if reply.status in (200, 409):
+            try:
+                report = wire.parse_report(reply.body)
+            except wire.BadRequest as error:
+                log.info("machine %s: garbled answer: %s", machine.name, error)
+                return
+            now = asyncio.get_running_loop().time()
+            fleet.on_report(report, now, answered=False)
--- /dev/null
+++ b/petrelthread/fleet/machine.py
@@ -0,0 +1,104 @@
+"""One machine and the state machine of its health."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+
+class Health(Enum):
+    BOOTING = "booting"  # rented or listed; its worker has not reported yet
+    UP = "up"
+    DRAINING = "draining"  # to be taken by the cloud, or to be returned: nothing new goes there
+    SILENT = "silent"  # no report for too long; its tasks may still run
+    RETURNING = "returning"  # a return is recorded or sent, not confirmed
+    GONE = "gone"  # the cloud has confirmed it
+
+
+STEPS = {
+    Health.BOOTING: {Health.UP, Health.DRAINING, Health.SILENT, Health.RETURNING},
+    Health.UP: {Health.DRAINING, Health.SILENT, Health.RETURNING},
+    Health.DRAINING: {Health.SILENT, Health.RETURNING, Health.UP},
+    Health.SILENT: {Health.UP, Health.DRAINING, Health.RETURNING},
+    Health.RETURNING: {Health.GONE, Health.SILENT},
+    Health.GONE: set(),
+}
+
+
+class Machine:
+    __slots__ = (
+        "addr",
+        "booted_at",
+        "charter",
+        "epoch_heard",
+        "errors",
+        "errors_of",
+        "fault",
+        "health",
+        "heard_at",
+        "idle_since",
+        "images",
+        "index",
+        "known_at",
+        "listed",
+        "name",
+        "notice_at",
+        "notice_s",
+        "rented_at",
+        "seen_token",
+        "sending",
+        "session",
+        "spot",
+        "tick",
+        "type",
+        "unsure",
+        "zone",
+    )
+
+    def __init__(self, index: int, name: str, now: float) -> None:
+        self.index = index
+        self.name = name
+        self.health = Health.BOOTING
+        self.addr = ""
+        self.type = -1
+        self.zone = -1
+        self.spot = False
+        self.session = 0
+        self.tick = -1
+        self.seen_token = 0
+        self.epoch_heard = 0  # the epoch in which this node last heard the worker
+        self.heard_at = now
+        self.known_at = now
+        self.rented_at = now
+        self.booted_at = 0.0
+        self.idle_since = now
+        self.notice_s: float | None = None
+        self.notice_at = 0.0
+        self.listed = False
+        self.charter = ""
+        self.sending = 0  # direct commands now under way
+        # Attempts that an unanswered direct command may still start, with its token.
+        self.unsure: dict[tuple[int, int, int], int] = {}
+        self.images: dict[int, float] = {}  # cached images in order of last use, with their size
+        self.errors_of: set[int] = set()  # jobs whose tasks failed here since a task last completed
+        self.errors = 0  # and how many failures that were
+        self.fault = ""
+
+    def move(self, to: Health) -> None:
+        """The one place where a machine's health changes."""
+        if to is self.health:
+            return
+        assert to in STEPS[self.health], f"{self.name}: {self.health} to {to}"
+        self.health = to
+
+    @property
+    def open(self) -> bool:
+        """May be given work."""
+        return self.health is Health.UP and not self.fault
+
+    def use_image(self, image: int, size_gb: float, cache_gb: float) -> None:
+        self.images.pop(image, None)
+        self.images[image] = size_gb
+        total = sum(self.images.values())
+        while total > cache_gb and len(self.images) > 1:
+            oldest = next(iter(self.images))
+            total -= self.images.pop(oldest)
--- /dev/null
+++ b/petrelthread/fleet/table.py
@@ -0,0 +1,342 @@
+"""The leader's table of machines: reports come in, evidence and orders come out."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from petrelthread import wire
+from petrelthread.fleet.machine import Health, Machine
+from petrelthread.ledger import Attempt, Book, Job, Op, move
+
+log = logging.getLogger(__name__)
+
+DRIFT = 1.002
+ERRORS_OF_JOBS = 2  # different jobs failing on a machine make it faulty
+ERRORS_IN_A_ROW = 2  # so do failures of one job that completes elsewhere
+JOB_BACKOFF_S = 5.0
+JOB_BACKOFF_MOST_S = 60.0
+
+
+class Fleet:
+    """All on the leader: nothing here is durable, everything can be read from the workers again."""
+
+    def __init__(self, book: Book, lease_s: float, report_s: float, hold_over_s: float) -> None:
+        self.book = book
+        self.lease_s = lease_s
+        self.report_s = report_s
+        self.hold_over_s = hold_over_s
+        self.machines: dict[int, Machine] = {}
+        self.finished: dict[int, list[int]] = {}  # done, not yet durable: job to tasks
+        self.epoch = 0
+        self.elected_at = 0.0
+        self.on_change: Callable[[], None] = lambda: None
+        self.on_class_time: Callable[[Job, float], None] = lambda job, ran_s: None
+        self.cache_gb: Callable[[int], float] = lambda kind: 1e9
+
+    # ---- machines --------------------------------------------------------------------------
+
+    def machine(self, name: str, now: float) -> Machine:
+        index = self.book.names.machines.index(name)
+        found = self.machines.get(index)
+        if found is None:
+            found = self.machines[index] = Machine(index, name, now)
+        return found
+
+    def known(self, name: str) -> Machine | None:
+        index = self.book.names.machines.find(name)
+        return None if index is None else self.machines.get(index)
+
+    def attempts(self, machine: Machine) -> dict[tuple[int, int], Attempt]:
+        return self.book.on_machine.get(machine.index, {})
+
+    def take_over(self, epoch: int, now: float) -> None:
+        """Everything known before is hearsay now, until workers have reported again."""
+        self.epoch = epoch
+        self.elected_at = now
+        for index in self.book.on_machine:
+            self.machine(self.book.names.machines.name(index), now)
+        for machine in list(self.machines.values()):
+            if machine.health is Health.GONE:
+                del self.machines[machine.index]
+                continue
+            machine.heard_at = now
+            machine.idle_since = now
+            machine.sending = 0
+            if machine.health is Health.BOOTING and machine.index in self.book.on_machine:
+                machine.move(Health.UP)  # it ran work, so it was up; now it has to be heard
+            for attempt in self.attempts(machine).values():
+                if attempt.state in (Op.CONFIRMED, Op.DISPATCHING):
+                    move(attempt, Op.UNKNOWN)
+
+    def gone_at(self, machine: Machine) -> float:
+        """When the lease of the machine's worker has surely run out, if it stays silent.
+
+        Before this leader heard the worker, an older one may have answered it until its own
+        hold-over ended, and that began before this leader was elected.
+        """
+        if machine.epoch_heard == self.epoch:
+            last = machine.heard_at
+        else:
+            last = self.elected_at + self.hold_over_s
+        return last + self.lease_s * DRIFT + 0.5
+
+    def lost(self, machine: Machine, why: str) -> int:
+        """The machine's tasks are surely gone."""
+        gone = list(self.attempts(machine).values())
+        for attempt in gone:
+            self._over(attempt, why)
+        machine.unsure.clear()
+        return len(gone)
+
+    def _over(self, attempt: Attempt, why: str) -> None:
+        log.info(
+            "operation superseded: start of %s/%d attempt %d: %s",
+            attempt.job.id,
+            attempt.task,
+            attempt.number,
+            why,
+        )
+        self.book.release(attempt)
+        self.on_change()
+
+    # ---- reports ---------------------------------------------------------------------------
+
+    def on_report(self, report: wire.Report, now: float, answered: bool) -> Machine | None:
+        """Take in what a worker says. ``answered``: its lease is renewed by our response.
+
+        Returns None for a report older than one seen already: its task list proves nothing.
+        """
+        names = self.book.names
+        machine = self.machine(report.perch, now)
+        if answered:
+            # Also for an old report: our answer may have renewed the lease.
+            machine.heard_at = now
+            machine.epoch_heard = self.epoch
+        if (report.flight, report.tick) <= (machine.session, machine.tick):
+            return None
+        if machine.health is Health.GONE:
+            return None  # the cloud said so; this is a late message
+        if report.flight > machine.session and machine.session:
+            self._new_session(machine, report.flight)
+        machine.session, machine.tick = report.flight, report.tick
+        machine.seen_token = max(machine.seen_token, report.baton)
+        machine.addr = report.addr or machine.addr
+        if report.hull:
+            machine.type = names.types.index(report.hull)
+        if report.roost:
+            machine.zone = names.zones.index(report.roost)
+        machine.spot = report.driftwood
+        self._health(machine, report, now)
+        for key, token in list(machine.unsure.items()):
+            if machine.seen_token > token:
+                del machine.unsure[key]
+        self._tasks(machine, report, now)
+        return machine
+
+    def _new_session(self, machine: Machine, session: int) -> None:
+        for attempt in list(self.attempts(machine).values()):
+            if attempt.session < session:
+                self._over(attempt, f"{machine.name} began session {session}")
+        machine.unsure.clear()
+        machine.images.clear()
+
+    def _health(self, machine: Machine, report: wire.Report, now: float) -> None:
+        if machine.health in (Health.BOOTING, Health.SILENT):
+            if machine.health is Health.BOOTING:
+                machine.booted_at = now
+                machine.idle_since = now
+            elif machine.health is Health.SILENT:
+                log.info("machine %s reports again", machine.name)
+            machine.move(Health.UP)
+            self.on_change()
+        if report.warning_s is not None:
+            if machine.notice_s is None:
+                log.info("machine %s will be taken in %.0f s", machine.name, report.warning_s)
+                machine.notice_at = now
+            machine.notice_s = report.warning_s
+            if machine.health is Health.UP:
+                machine.move(Health.DRAINING)
+                self.on_change()
+
+    def _tasks(self, machine: Machine, report: wire.Report, now: float) -> None:
+        book = self.book
+        shown: set[tuple[int, int]] = set()
+        for leg in report.legs:
+            job_id, task = leg.task
+            job = book.by_id.get(job_id)
+            if job is None or not 0 <= task < job.tasks:
+                continue
+            attempt = self.attempts(machine).get((job.index, task))
+            if attempt is None or attempt.number != leg.try_:
+                self._stranger(machine, report, job, task, leg, now)
+                continue
+            shown.add((job.index, task))
+            self._shown(machine, attempt, leg, now)
+        for key, attempt in list(self.attempts(machine).items()):
+            if key in shown or attempt.session != report.flight:
+                if attempt.session < report.flight:
+                    self._over(attempt, f"{machine.name} is in session {report.flight}")
+                continue
+            self._not_shown(machine, report, attempt, now)
+        if self.attempts(machine):
+            machine.idle_since = now
+
+    def _stranger(
+        self, machine: Machine, report: wire.Report, job: Job, task: int, leg: wire.Leg, now: float
+    ) -> None:
+        """An attempt that the book does not hold for this machine."""
+        if leg.status == wire.ENDED:
+            if leg.cause == wire.CAUSE_DONE:
+                self._finish(job, task)
+            return
+        if job.final is None and job.states[task] == 0:
+            # It is there, whatever the records say: count it, so that nobody starts it elsewhere.
+            log.info("machine %s runs %s/%d unrecorded: kept", machine.name, job.id, task)
+            attempt = self.book.add_attempt(leg.try_, job, task, machine.index, report.flight)
+            attempt.at = now
+            self._shown(machine, attempt, leg, now)
+
+    def _finish(self, job: Job, task: int) -> None:
+        if job.final is None and job.states[task] != 2:
+            tasks = self.finished.setdefault(job.index, [])
+            if task not in tasks:
+                tasks.append(task)
+                self.on_change()
+
+    def _shown(self, machine: Machine, attempt: Attempt, leg: wire.Leg, now: float) -> None:
+        job = attempt.job
+        if attempt.state is not Op.CONFIRMED:
+            move(attempt, Op.CONFIRMED)
+        before, attempt.status = attempt.status, leg.status
+        if leg.status in (wire.RUNNING, wire.FLUSHING) and before in ("", wire.FETCHING):
+            attempt.running_at = now
+            if not job.first_start_at:
+                job.first_start_at = now
+            machine.use_image(job.image, job.size_gb, self.cache_gb(machine.type))
+        if leg.status != wire.ENDED or before == wire.ENDED:
+            return
+        self.on_change()
+        if leg.cause == wire.CAUSE_DONE:
+            machine.errors_of.clear()
+            machine.errors = 0
+            machine.use_image(job.image, job.size_gb, self.cache_gb(machine.type))
+            if attempt.running_at:
+                self.on_class_time(job, now - attempt.running_at)
+            if job.final is None:
+                self._finish(job, attempt.task)
+            else:
+                self.book.release(attempt, done=True)
+            return
+        if leg.cause == wire.CAUSE_ERROR:
+            self._failed(machine, job, now)
+        elif leg.cause not in (wire.CAUSE_STOPPED, None):
+            log.info("machine %s refused %s/%d: %s", machine.name, job.id, attempt.task, leg.cause)
+            job.not_before = max(job.not_before, now + 1.0)
+        # Ended without being done: over, and it stays listed until forgotten, so that no late
+        # command can start this attempt again.
+        self._over(attempt, f"ended: {leg.cause}")
+
+    def _failed(self, machine: Machine, job: Job, now: float) -> None:
+        machine.errors_of.add(job.index)
+        machine.errors += 1
+        job.failed_on.add(machine.index)
+        log.info("task of %s failed on %s", job.id, machine.name)
+        elsewhere = job.done > 0 or job.index in self.finished
+        if machine.fault:
+            return
+        if len(machine.errors_of) >= ERRORS_OF_JOBS:
+            machine.fault = "different jobs fail on it"
+        elif machine.errors >= ERRORS_IN_A_ROW and elsewhere:
+            machine.fault = "a job that completes elsewhere fails on it"
+        if machine.fault:
+            log.info("machine %s is faulty: %s", machine.name, machine.fault)
+            return
+        if len(job.failed_on) >= 3 and not elsewhere:
+            job.backoff_s = min(JOB_BACKOFF_MOST_S, max(JOB_BACKOFF_S, job.backoff_s * 2))
+            job.not_before = now + job.backoff_s
+
+    def _not_shown(
+        self, machine: Machine, report: wire.Report, attempt: Attempt, now: float
+    ) -> None:
+        """A report newer than all we know does not list the attempt."""
+        key = (attempt.job.index, attempt.task, attempt.number)
+        if machine.sending or key in machine.unsure:
+            return  # a direct command may be on its way; resent or settled later
+        if attempt.state is Op.CONFIRMED:
+            if not attempt.ended:
+                self._over(attempt, f"{machine.name} no longer lists it")
+            return
+        if attempt.number >> 20 == self.epoch:
+            return  # ours, lost on the way: orders() sends it again
+        if machine.seen_token >= self.epoch:
+            # No older leader's command can start it any more.
+            self._over(attempt, f"{machine.name} does not list it and knows epoch {self.epoch}")
+
+    # ---- orders ----------------------------------------------------------------------------
+
+    def unwanted(self, attempt: Attempt) -> bool:
+        return attempt.job.final is not None
+
+    def orders(self, machine: Machine, report: wire.Report, now: float) -> list[dict[str, Any]]:
+        """What the worker has to be told, given the report just taken in."""
+        out: list[dict[str, Any]] = []
+        there = self.attempts(machine)
+        listed: set[tuple[int, int]] = set()
+        book = self.book
+        for leg in report.legs:
+            job_id, task = leg.task
+            job = book.by_id.get(job_id)
+            attempt = None if job is None else there.get((job.index, task))
+            ours = attempt is not None and attempt.number == leg.try_
+            if job is not None and ours:
+                listed.add((job.index, task))
+            if leg.status == wire.ENDED:
+                if self._may_forget(machine, job, task, leg, ours):
+                    out.append(wire.forget(job_id, task, leg.try_))
+            elif job is None:
+                continue  # never told to us: nothing is known that would justify a stop
+            elif not ours or attempt is None or self.unwanted(attempt):
+                out.append(wire.halt(job_id, task, leg.try_, 0))
+            elif attempt.halted_at:
+                out.append(wire.halt(job_id, task, leg.try_, attempt.job.grace_s))
+        if machine.sending:
+            return out
+        for key, attempt in list(there.items()):
+            if key in listed or attempt.session != report.flight or attempt.ended:
+                continue
+            if attempt.number >> 20 != self.epoch:
+                continue
+            if self.unwanted(attempt) or attempt.halted_at:
+                if (*key, attempt.number) not in machine.unsure:
+                    self._over(attempt, "never shown, no longer wanted")
+                continue
+            out.append(wire.launch(attempt.job.id, attempt.task, attempt.number))
+        return out
+
+    def _may_forget(
+        self, machine: Machine, job: Job | None, task: int, leg: wire.Leg, ours: bool
+    ) -> bool:
+        if job is None:
+            return False  # the book may lag; a job that never was does not reach a worker
+        if (job.index, task, leg.try_) in machine.unsure:
+            return False  # a late direct command would start it again
+        if leg.cause == wire.CAUSE_DONE:
+            # Forgotten only once it is durable.
+            return job.final is not None or job.states[task] == 2
+        return not ours
+
+    # ---- time ------------------------------------------------------------------------------
+
+    def tick_silence(self, now: float, silent_s: float) -> None:
+        for machine in list(self.machines.values()):
+            if machine.health in (Health.UP, Health.DRAINING):
+                grace = silent_s
+                if machine.epoch_heard != self.epoch:
+                    grace += 4.0
+                if now - machine.heard_at > grace:
+                    log.info("machine %s is silent", machine.name)
+                    machine.move(Health.SILENT)
+            if self.attempts(machine) and now > self.gone_at(machine):
+                self.lost(machine, f"lease of {machine.name} has run out")
--- /dev/null
+++ b/petrelthread/http/__init__.py
@@ -0,0 +1,6 @@
+"""HTTP/1.1 over asyncio streams, spoken with h11."""
+
+from petrelthread.http.client import Client, NoAnswer, Reply
+from petrelthread.http.server import Response, Server, answer
+
+__all__ = ["Client", "NoAnswer", "Reply", "Response", "Server", "answer"]
--- /dev/null
+++ b/petrelthread/http/server.py
@@ -0,0 +1,144 @@
+"""The serving side: one coroutine a connection, whole requests in, whole responses out."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+import h11
+import orjson
+
+from petrelthread.wire import MAX_BODY
+
+log = logging.getLogger(__name__)
+
+IDLE_S = 75.0
+BODY_S = 10.0
+
+
+class Response(NamedTuple):
+    status: int
+    body: bytes
+    retry_after_s: int | None = None
+
+
+Handler = Callable[[str, str, bytes], Awaitable[Response]]
+
+
+def answer(status: int, body: Any, retry_after_s: int | None = None) -> Response:
+    return Response(status, orjson.dumps(body), retry_after_s)
+
+
+def refusal(status: int, reason: str, retry_after_s: int | None = None) -> Response:
+    return answer(status, {"error": reason}, retry_after_s)
+
+
+class _TooLarge(Exception):
+    pass
+
+
+class Server:
+    """Serves one address. ``room`` says how many connections may be open at once."""
+
+    def __init__(self, handler: Handler, room: int) -> None:
+        self._handler = handler
+        self._room = room
+        self._open = 0
+
+    async def listen(self, host: str, port: int) -> asyncio.Server:
+        return await asyncio.start_server(self._serve, host, port, limit=128 * 1024, backlog=512)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._open += 1
+        try:
+            if self._open <= self._room:
+                await self._requests(reader, writer)
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            pass
+        except Exception:
+            log.exception("connection handler failed")
+        finally:
+            self._open -= 1
+            writer.close()
+
+    async def _requests(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        conn = h11.Connection(h11.SERVER, max_incomplete_event_size=16 * 1024)
+        while True:
+            try:
+                async with asyncio.timeout(IDLE_S):
+                    event = await self._next(conn, reader, writer)
+                if not isinstance(event, h11.Request):
+                    return
+                async with asyncio.timeout(BODY_S):
+                    body = await self._body(conn, reader, writer)
+            except h11.RemoteProtocolError as error:
+                if conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+                    self._send(conn, writer, refusal(400, f"bad HTTP: {error}"), close=True)
+                    await writer.drain()
+                return
+            except _TooLarge:
+                # 400 rather than 413: users retry every status that the protocol does not list.
+                self._send(conn, writer, refusal(400, "body over 64 KiB"), close=True)
+                await writer.drain()
+                return
+            try:
+                method = event.method.decode("ascii")
+                target = event.target.decode("ascii", "replace")
+                response = await self._handler(method, target, body)
+            except Exception:
+                log.exception("request handler failed")
+                response = refusal(503, "internal trouble", 1)
+            self._send(conn, writer, response, close=self._open > self._room * 0.95)
+            await writer.drain()
+            if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
+                return
+            conn.start_next_cycle()
+
+    @staticmethod
+    async def _next(
+        conn: h11.Connection, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> Any:
+        while True:
+            event = conn.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            if conn.they_are_waiting_for_100_continue:
+                go_on = h11.InformationalResponse(status_code=100, headers=[])
+                writer.write(conn.send(go_on) or b"")
+            conn.receive_data(await reader.read(65536))
+
+    async def _body(
+        self, conn: h11.Connection, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bytes:
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = await self._next(conn, reader, writer)
+            if isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > MAX_BODY:
+                    raise _TooLarge
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return b"".join(parts)
+            else:
+                raise h11.RemoteProtocolError("connection ended within a request")
+
+    @staticmethod
+    def _send(
+        conn: h11.Connection, writer: asyncio.StreamWriter, response: Response, close: bool
+    ) -> None:
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(response.body))),
+        ]
+        if response.retry_after_s is not None:
+            headers.append(("Retry-After", str(response.retry_after_s)))
+        if close:
+            headers.append(("Connection", "close"))
+        head = conn.send(h11.Response(status_code=response.status, headers=headers)) or b""
+        data = conn.send(h11.Data(data=response.body)) or b""
+        end = conn.send(h11.EndOfMessage()) or b""
+        writer.write(head + data + end)
--- /dev/null
+++ b/petrelthread/intake/checks.py
@@ -0,0 +1,43 @@
+"""Whether a well-formed job can ever run."""
+
+from __future__ import annotations
+
+from petrelthread.settings import Team
+from petrelthread.wire import Hull, JobSpec
+
+EPS = 1e-9
+
+
+class CannotRun(Exception):
+    """The job can never run; the text says why."""
+
+
+class NotYetKnown(Exception):
+    """Machine types are not known yet."""
+
+
+def check_runnable(spec: JobSpec, teams: dict[str, Team], hulls: tuple[Hull, ...] | None) -> None:
+    team = teams.get(spec.crew)
+    if team is None:
+        raise CannotRun(f"unknown team {spec.crew}")
+    # Of an array one task has to fit the limit: the others can run after it.
+    if spec.cores > team.cpus_max + EPS:
+        raise CannotRun(f"a task takes {spec.cores:g} cores, team limit is {team.cpus_max:g}")
+    if spec.accelerators > team.gpus_max + EPS:
+        raise CannotRun(
+            f"a task takes {spec.accelerators:g} accelerators, team limit is {team.gpus_max:g}"
+        )
+    if hulls is None:
+        raise NotYetKnown("machine types are not known yet")
+    for hull in hulls:
+        if spec.hulls is not None and hull.sku not in spec.hulls:
+            continue
+        if spec.roost is not None and spec.roost not in hull.roosts:
+            continue
+        if (
+            spec.cores <= hull.cores + EPS
+            and spec.accelerators <= hull.accelerators + EPS
+            and spec.ram_gb <= hull.ram_gb + EPS
+        ):
+            return
+    raise CannotRun("a task fits no allowed machine type")
--- /dev/null
+++ b/petrelthread/intake/intake.py
@@ -0,0 +1,200 @@
+"""Users' requests. An answer is never held back: what cannot be known now is a 503 at once."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+
+from petrelthread import wire
+from petrelthread.http import Response, answer
+from petrelthread.http.server import refusal
+from petrelthread.intake.checks import CannotRun, NotYetKnown, check_runnable
+from petrelthread.ledger import Book, Job
+from petrelthread.settings import Settings
+from petrelthread.store import ROOT, Conflict, Mirror, NoSuchLease, StateClient, StateDown
+from petrelthread.store import StateUnsure as Unsure
+
+log = logging.getLogger(__name__)
+
+QUEUE_MOST_S = 1.5  # a submission that would wait longer for its write is sent away at once
+RETRY_S = 1
+OUTAGE_RETRY_S = 2
+
+
+class Intake:
+    def __init__(
+        self,
+        settings: Settings,
+        book: Book,
+        mirror: Mirror,
+        client: StateClient,
+        hulls: Callable[[], tuple[wire.Hull, ...] | None],
+    ) -> None:
+        self._teams = {team.name: team for team in settings.cluster.teams}
+        self._limits = settings.cluster.state
+        self._book = book
+        self._mirror = mirror
+        self._client = client
+        self._hulls = hulls
+        self._queue: list[tuple[wire.JobSpec, list[Any], asyncio.Future[int]]] = []
+        self._flushing: asyncio.Task[None] | None = None
+
+    async def handle(self, method: str, path: str, body: bytes) -> Response:
+        if path == wire.JOBS_PATH:
+            if method != "POST":
+                return refusal(405, "use POST")
+            return await self.submit(body)
+        job_id = path[len(wire.JOBS_PATH) + 1 :]
+        if job_id.endswith(wire.CANCEL_END):
+            if method != "POST":
+                return refusal(405, "use POST")
+            return await self.cancel(job_id[: -len(wire.CANCEL_END)])
+        if "/" in job_id:
+            return refusal(404, "no such path")
+        if method != "GET":
+            return refusal(405, "use GET")
+        return await self.query(job_id)
+
+    # ---- submit ----------------------------------------------------------------------------
+
+    async def submit(self, body: bytes) -> Response:
+        try:
+            spec = wire.parse_job(body)
+        except wire.BadRequest as error:
+            return refusal(400, str(error))
+        if spec.name_id in self._book.by_id:
+            # Accepted once, it is never judged again, whatever the repeat says.
+            return await self._state_of(spec.name_id)
+        value = Job.encode(spec, time.time())
+        if len(orjson.dumps(value)) > self._limits.value_kb * 1000:
+            return refusal(400, "the description is too large to keep")
+        try:
+            check_runnable(spec, self._teams, self._hulls())
+        except (CannotRun, NotYetKnown) as error:
+            # The mirror may lag behind: an accepted job must never be told that it cannot run.
+            if not await self._mirror.fresh():
+                return refusal(503, "state service unreachable", OUTAGE_RETRY_S)
+            if spec.name_id in self._book.by_id:
+                return await self._state_of(spec.name_id)
+            if isinstance(error, NotYetKnown):
+                return refusal(503, str(error), RETRY_S)
+            return refusal(422, str(error))
+        if not self._mirror.loaded.is_set():
+            return refusal(503, "still reading the state", RETRY_S)
+        now = asyncio.get_running_loop().time()
+        writes = self._client.writes
+        wait_s = max(writes.wait_s(now), 0.0) + len(self._queue) / writes.rate
+        if wait_s > QUEUE_MOST_S:
+            return refusal(429, "too many submissions", max(1, round(wait_s)))
+        status = await self._create(spec, value)
+        if status == 201:
+            return answer(201, wire.job_answer(spec.name_id, wire.QUEUED))
+        if status == 200:
+            return await self._state_of(spec.name_id)
+        return refusal(503, "state service unreachable", OUTAGE_RETRY_S)
+
+    async def _create(self, spec: wire.JobSpec, value: list[Any]) -> int:
+        future: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+        self._queue.append((spec, value, future))
+        if self._flushing is None or self._flushing.done():
+            self._flushing = asyncio.create_task(self._flush())
+        return await future
+
+    async def _flush(self) -> None:
+        """Group commit: as many waiting submissions as one transaction takes."""
+        while self._queue:
+            batch: list[tuple[wire.JobSpec, list[Any], asyncio.Future[int]]] = []
+            size = 0
+            while self._queue and len(batch) < self._limits.txn_ops:
+                size += len(orjson.dumps(self._queue[0][1])) + 200
+                if batch and size > 60_000:
+                    break
+                batch.append(self._queue.pop(0))
+            await self._commit(batch)
+
+    async def _commit(
+        self, batch: list[tuple[wire.JobSpec, list[Any], asyncio.Future[int]]]
+    ) -> None:
+        tries = 3
+        while batch and tries:
+            tries -= 1
+            keys = [f"{ROOT}j/{spec.name_id}" for spec, _, _ in batch]
+            conditions = [wire.when(key, 0) for key in dict.fromkeys(keys)]
+            ops = [wire.put(key, value) for key, (_, value, _) in zip(keys, batch, strict=True)]
+            if len(conditions) < len(batch):  # the same job twice in one batch: one at a time
+                for entry in batch:
+                    await self._commit([entry])
+                return
+            try:
+                await self._client.multi(conditions, ops)
+            except Conflict as conflict:
+                kept = []
+                for key, entry in zip(keys, batch, strict=True):
+                    if key in conflict.failed:
+                        self._resolve(entry, 200)
+                    else:
+                        kept.append(entry)
+                batch = kept
+                continue
+            except (StateDown, Unsure, NoSuchLease) as error:
+                log.debug("submission not written: %s", error)
+                break
+            for entry in batch:
+                self._resolve(entry, 201)
+            return
+        for entry in batch:
+            self._resolve(entry, 503)
+
+    @staticmethod
+    def _resolve(entry: tuple[wire.JobSpec, list[Any], asyncio.Future[int]], status: int) -> None:
+        if not entry[2].done():
+            entry[2].set_result(status)
+
+    # ---- query and cancel --------------------------------------------------------------------
+
+    async def query(self, job_id: str) -> Response:
+        if not wire.JOB_ID.match(job_id):
+            return refusal(404, "no such job")
+        return await self._state_of(job_id)
+
+    async def _state_of(self, job_id: str) -> Response:
+        job = self._book.by_id.get(job_id)
+        if job is None or job.final is None:  # final states never change: no need to look again
+            if not await self._mirror.fresh():
+                return refusal(503, "state service unreachable", OUTAGE_RETRY_S)
+            job = self._book.by_id.get(job_id)
+        if job is None:
+            return refusal(404, "no such job")
+        running = 0 if job.final is not None else len(job.live)
+        return answer(200, wire.job_answer(job_id, job.status, job.done, running))
+
+    async def cancel(self, job_id: str) -> Response:
+        if not wire.JOB_ID.match(job_id):
+            return refusal(404, "no such job")
+        current = await self._state_of(job_id)
+        job = self._book.by_id.get(job_id)
+        if current.status != 200 or job is None:
+            return current
+        if job.final is None:
+            key = f"{ROOT}f/{job_id}"
+            try:
+                await self._client.multi([wire.when(key, 0)], [wire.put(key, wire.ABORTED)])
+            except Conflict:
+                return await self._final_of(job)
+            except (StateDown, Unsure, NoSuchLease) as error:
+                log.debug("cancellation not written: %s", error)
+                return refusal(503, "state service unreachable", OUTAGE_RETRY_S)
+            self._book.finish(job_id, wire.ABORTED)
+        return answer(200, wire.job_answer(job_id, job.status))
+
+    async def _final_of(self, job: Job) -> Response:
+        if job.final is None:
+            await self._mirror.fresh()
+        if job.final is None:
+            return refusal(503, "state service unreachable", OUTAGE_RETRY_S)
+        return answer(200, wire.job_answer(job.id, job.status))
--- /dev/null
+++ b/petrelthread/leadership/election.py
@@ -0,0 +1,283 @@
+"""The election as a state machine. Safety rests on the epoch in every claim, not on the lease."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Awaitable, Callable
+from enum import Enum
+from typing import Any
+
+from petrelthread import wire
+from petrelthread.store import (
+    ROOT,
+    Conflict,
+    Mirror,
+    NoSuchLease,
+    StateClient,
+    StateDown,
+    StateUnsure,
+)
+
+log = logging.getLogger(__name__)
+
+LIFE_S = 3.0
+RENEW_S = 0.75
+DRIFT = 1.001
+
+
+class Role(Enum):
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    TAKING_OVER = "taking over"  # elected, not yet caught up: answers workers, commands nothing
+    LEADING = "leading"
+    HOLDING_OVER = "holding over"  # lease perhaps gone, no newer epoch known: no commands
+
+
+STEPS = {
+    Role.FOLLOWER: {Role.CANDIDATE},
+    Role.CANDIDATE: {Role.FOLLOWER, Role.TAKING_OVER},
+    Role.TAKING_OVER: {Role.LEADING, Role.HOLDING_OVER, Role.FOLLOWER},
+    Role.LEADING: {Role.HOLDING_OVER, Role.FOLLOWER},
+    Role.HOLDING_OVER: {Role.LEADING, Role.TAKING_OVER, Role.FOLLOWER},
+}
+ACTING = (Role.TAKING_OVER, Role.LEADING, Role.HOLDING_OVER)
+
+
+class Election:
+    def __init__(
+        self,
+        node: str,
+        client: StateClient,
+        mirror: Mirror,
+        hold_over_s: float,
+        randomness: random.Random,
+        on_elected: Callable[[], Awaitable[None]],
+        on_role: Callable[[Role], None],
+    ) -> None:
+        self._node = node
+        self._client = client
+        self._mirror = mirror
+        self._hold_over_s = hold_over_s
+        self._random = randomness
+        self._on_elected = on_elected
+        self._on_role = on_role
+        self.role = Role.FOLLOWER
+        self.epoch = 0  # ours while acting
+        self.known_epoch = 0  # the highest anyone has shown us
+        self.leader: dict[str, Any] | None = None  # the lead key's value
+        self.elected_at = 0.0
+        self.abstain_until = 0.0
+        self._lead_stamp = 0
+        self._epoch_stamp = 0
+        self._epoch_key = 0
+        self._lease: int | None = None
+        self._nonce = ""
+        self._renewed_at = 0.0
+        self._caught_up = False
+        self.wake = asyncio.Event()
+
+    # ---- states ----------------------------------------------------------------------------
+
+    def _move(self, to: Role, why: str) -> None:
+        """The one place where the role changes."""
+        if to is self.role:
+            return
+        assert to in STEPS[self.role], f"{self.role} to {to}"
+        level = logging.DEBUG if Role.CANDIDATE in (to, self.role) else logging.INFO
+        if to is Role.TAKING_OVER:
+            level = logging.INFO
+        log.log(
+            level, "leadership: %s to %s (epoch %d): %s", self.role.value, to.value, self.epoch, why
+        )
+        self.role = to
+        self._on_role(to)
+
+    @property
+    def acting(self) -> bool:
+        """May answer workers with 200: nobody newer is known, and the hold-over is not over."""
+        return self.role in ACTING and self._now() < self._renewed_at + self._hold_over_s
+
+    @property
+    def leading(self) -> bool:
+        return self.role is Role.LEADING and self._now() < self._lease_end()
+
+    @property
+    def home(self) -> str | None:
+        return self.leader["node"] if self.leader else None
+
+    def fence(self) -> list[dict[str, Any]] | None:
+        """The conditions of every claim, or None when there is no right to claim."""
+        if self.role not in (Role.TAKING_OVER, Role.LEADING):
+            return None
+        return [
+            wire.when(ROOT + "lead", self._lead_stamp),
+            wire.when(ROOT + "epoch", self._epoch_stamp),
+        ]
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def _lease_end(self) -> float:
+        return self._renewed_at + LIFE_S / DRIFT
+
+    # ---- what others show --------------------------------------------------------------------
+
+    def on_key(self, key: str, value: Any, stamp: int) -> None:
+        if key == "epoch" and value is not None:
+            self._epoch_stamp_seen(int(value), stamp)
+        elif key == "lead":
+            self.leader = value
+            if value is not None:
+                self.saw_epoch(int(value["epoch"]))
+            ours = value is not None and value["nonce"] == self._nonce
+            if self.role in ACTING and not ours and stamp > self._lead_stamp:
+                self._step_down("the lead key is gone or another's")
+        self.wake.set()
+
+    def _epoch_stamp_seen(self, epoch: int, stamp: int) -> None:
+        if self.role not in ACTING:
+            self._epoch_stamp = stamp
+            self._epoch_key = epoch
+        self.saw_epoch(epoch)
+
+    def saw_epoch(self, epoch: int) -> None:
+        self.known_epoch = max(self.known_epoch, epoch)
+        if self.role in ACTING and epoch > self.epoch:
+            self._step_down(f"epoch {epoch} is newer")
+
+    def _step_down(self, why: str) -> None:
+        self._move(Role.FOLLOWER, why)
+        self.wake.set()
+
+    async def resign(self, why: str, abstain_s: float) -> None:
+        """Give the lead away, as one who cannot reach the workers must."""
+        self.abstain_until = self._now() + abstain_s
+        lease = self._lease
+        self._step_down(why)
+        if lease is not None:
+            await self._revoke(lease)
+
+    async def _revoke(self, lease: int) -> bool:
+        try:
+            await self._client.revoke(lease)
+        except (StateDown, StateUnsure):
+            return False
+        return True
+
+    # ---- the loop ----------------------------------------------------------------------------
+
+    async def run(self) -> None:
+        while True:
+            try:
+                delay = await self._step()
+            except (StateDown, StateUnsure) as error:
+                log.debug("leadership: state service: %s", error)
+                delay = 0.3
+            self.wake.clear()
+            try:
+                async with asyncio.timeout(delay):
+                    await self.wake.wait()
+            except TimeoutError:
+                pass
+
+    async def _step(self) -> float:
+        if self.role in ACTING:
+            return await self._renew()
+        if not self._mirror.loaded.is_set() or self._now() < self.abstain_until:
+            return 0.2
+        if self.leader is not None:
+            stale = self.leader["node"] == self._node and self.leader["nonce"] != self._nonce
+            if stale:
+                # An earlier life of this very node: it is dead, its lease need not run out.
+                log.info("leadership: ending the lease of an earlier life of this node")
+                await self._revoke(int(self.leader["lease"]))
+                await self._mirror.fresh()
+            return 0.2
+        await asyncio.sleep(self._random.uniform(0.0, 0.15))
+        if not await self._mirror.fresh() or self.leader is not None:
+            return 0.2
+        await self._campaign()
+        return 0.05
+
+    async def _campaign(self) -> None:
+        self._move(Role.CANDIDATE, "there is no leader")
+        started = self._now()
+        try:
+            lease = await self._client.grant(LIFE_S)
+        except (StateDown, StateUnsure):
+            self._move(Role.FOLLOWER, "no lease to be had")
+            raise
+        epoch = self._epoch_key + 1
+        self._nonce = f"{self._node}-{self._random.getrandbits(64):016x}"
+        value = {"node": self._node, "nonce": self._nonce, "epoch": epoch, "lease": lease}
+        conditions = [wire.when(ROOT + "lead", 0), wire.when(ROOT + "epoch", self._epoch_stamp)]
+        ops = [wire.put(ROOT + "lead", value, lease), wire.put(ROOT + "epoch", epoch)]
+        try:
+            stamp = await self._client.multi(conditions, ops)
+        except (Conflict, NoSuchLease, StateDown) as error:
+            self._move(Role.FOLLOWER, f"not elected: {error}")
+            await self._revoke(lease)
+            return
+        except StateUnsure:
+            stamp = 0
+            if await self._mirror.fresh() and self.leader is not None:
+                mine = self.leader["nonce"] == self._nonce
+                stamp = self._mirror.stamps["lead"] if mine else 0
+            if not stamp:
+                # The transaction may come late. Without its lease it cannot be applied.
+                self._move(Role.FOLLOWER, "election unanswered")
+                await self._revoke(lease)
+                return
+        if self.known_epoch > epoch:
+            self._move(Role.FOLLOWER, "a newer epoch is known")
+            await self._revoke(lease)
+            return
+        self.epoch = self.known_epoch = epoch
+        self._lease = lease
+        self._lead_stamp = self._epoch_stamp = stamp
+        self._epoch_key = epoch
+        self._renewed_at = started
+        self.elected_at = self._now()
+        self._caught_up = False
+        self._move(Role.TAKING_OVER, "elected")
+        asyncio.create_task(self._take_over())
+
+    async def _take_over(self) -> None:
+        while self.role is Role.TAKING_OVER:
+            if await self._mirror.fresh():
+                break
+            await asyncio.sleep(0.2)
+        if self.role is Role.TAKING_OVER:
+            await self._on_elected()
+        if self.role is Role.TAKING_OVER:
+            self._caught_up = True
+            self._move(Role.LEADING, "state reloaded, workers being read")
+
+    async def _renew(self) -> float:
+        assert self._lease is not None
+        lease, started = self._lease, self._now()
+        try:
+            await self._client.extend(lease, timeout=0.9)
+            if self.role in ACTING and lease == self._lease:
+                self._renewed_at = started
+                if self.role is Role.HOLDING_OVER and self._caught_up:
+                    self._move(Role.LEADING, "lease renewed after all")
+                elif self.role is Role.HOLDING_OVER:
+                    # The outage came in the middle of the take-over: it has to be done again.
+                    self._move(Role.TAKING_OVER, "lease renewed after all")
+                    asyncio.create_task(self._take_over())
+            return RENEW_S
+        except NoSuchLease:
+            if self.role in ACTING and lease == self._lease:
+                self._step_down("the lease has ended")
+            return 0.05
+        except (StateDown, StateUnsure) as error:
+            now = self._now()
+            if self.role in ACTING and now > self._lease_end():
+                if now > self._renewed_at + self._hold_over_s:
+                    self._step_down("the hold-over is over")
+                elif self.role is not Role.HOLDING_OVER:
+                    self._move(Role.HOLDING_OVER, f"state service: {error}")
+            return 0.25
--- /dev/null
+++ b/petrelthread/ledger/claims.py
@@ -0,0 +1,67 @@
+"""Claims: transactions that hold only while this controller leads with its epoch."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from enum import Enum
+from typing import Any
+
+from petrelthread import wire
+from petrelthread.store import ROOT, Conflict, NoSuchLease, StateClient, StateDown, StateUnsure
+
+log = logging.getLogger(__name__)
+
+Fence = Callable[[], list[dict[str, Any]] | None]
+
+
+class Outcome(Enum):
+    WON = "won"
+    FENCED = "fenced"  # another leader, or none: nothing more may be sent
+    CLASHED = "clashed"  # a condition of the claim itself failed; nothing was applied
+
+
+class Claims:
+    """Only one claim is under way at a time. An unanswered one is repeated until its fate is known.
+
+    Each claim names a marker, a key that must not exist yet and that the claim creates. A repeat
+    that fails on the marker proves that an earlier copy was applied.
+    """
+
+    def __init__(self, client: StateClient, fence: Fence) -> None:
+        self._client = client
+        self._fence = fence
+        self._lock = asyncio.Lock()
+
+    async def claim(
+        self,
+        ops: list[dict[str, Any]],
+        marker: str | None = None,
+        absent: tuple[str, ...] = (),
+    ) -> tuple[Outcome, tuple[str, ...]]:
+        conditions = [wire.when(ROOT + key, 0) for key in absent]
+        if marker is not None:
+            conditions.append(wire.when(ROOT + marker, 0))
+        unsure = False
+        async with self._lock:
+            while True:
+                fence = self._fence()
+                if fence is None:
+                    return Outcome.FENCED, ()
+                try:
+                    await self._client.multi(fence + conditions, ops)
+                    return Outcome.WON, ()
+                except Conflict as conflict:
+                    failed = tuple(key.removeprefix(ROOT) for key in conflict.failed)
+                    if unsure and marker is not None and marker in failed:
+                        return Outcome.WON, ()
+                    if any(key in ("lead", "epoch") for key in failed):
+                        return Outcome.FENCED, failed
+                    return Outcome.CLASHED, failed
+                except StateUnsure as error:
+                    log.info("claim %s unanswered: %s", marker, error)
+                    unsure = True
+                except (StateDown, NoSuchLease) as error:
+                    log.debug("claim %s refused: %s", marker, error)
+                await asyncio.sleep(0.15)
--- /dev/null
+++ b/petrelthread/peers/gossip.py
@@ -0,0 +1,83 @@
+"""Each controller greets each sibling about once a second and after every change of leader."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+import msgspec
+import orjson
+
+from petrelthread.http import NoAnswer, Response, answer
+from petrelthread.http.server import refusal
+from petrelthread.settings import Sibling
+from petrelthread.store import Request
+
+log = logging.getLogger(__name__)
+
+HELLO_PATH = "/peer/v1/hello"
+EVERY_S = 1.0
+
+
+class Hello(msgspec.Struct):
+    node: str
+    epoch: int = 0
+    leading: bool = False
+    state_ok: bool = False
+    workers: int = 0  # reports taken in lately, answered with 200 or not
+    zone: str = ""
+
+
+class Heard(msgspec.Struct):
+    hello: Hello
+    at: float
+
+
+class Gossip:
+    def __init__(
+        self,
+        siblings: tuple[Sibling, ...],
+        request: Request,
+        mine: Callable[[], Hello],
+        on_hello: Callable[[Hello], None],
+    ) -> None:
+        self._siblings = siblings
+        self._request = request
+        self._mine = mine
+        self._on_hello = on_hello
+        self.heard: dict[str, Heard] = {}
+        self.wake = asyncio.Event()
+
+    def take(self, hello: Hello) -> None:
+        self.heard[hello.node] = Heard(hello, asyncio.get_running_loop().time())
+        self._on_hello(hello)
+
+    def fresh(self, within_s: float) -> list[Hello]:
+        now = asyncio.get_running_loop().time()
+        return [h.hello for h in self.heard.values() if now - h.at <= within_s]
+
+    async def handle(self, method: str, body: bytes) -> Response:
+        if method != "POST":
+            return refusal(405, "use POST")
+        try:
+            self.take(msgspec.convert(orjson.loads(body), Hello))
+        except (orjson.JSONDecodeError, msgspec.ValidationError) as error:
+            return refusal(400, str(error))
+        return answer(200, msgspec.to_builtins(self._mine()))
+
+    async def run(self) -> None:
+        await asyncio.gather(*(self._greet(sibling) for sibling in self._siblings))
+
+    async def _greet(self, sibling: Sibling) -> None:
+        while True:
+            body = msgspec.to_builtins(self._mine())
+            try:
+                reply = await self._request(
+                    sibling.peer_addr, "POST", HELLO_PATH, body, timeout=0.8
+                )
+                if reply.status == 200:
+                    self.take(msgspec.convert(orjson.loads(reply.body), Hello))
+            except (NoAnswer, orjson.JSONDecodeError, msgspec.ValidationError) as error:
+                log.debug("sibling %s: %s", sibling.host_name, error)
+            await asyncio.sleep(EVERY_S)
--- /dev/null
+++ b/petrelthread/placement/preempt.py
@@ -0,0 +1,81 @@
+"""Which running tasks make room, and only where PROTOCOL allows it.
+
+A job may displace work of lower rank; a job within its team's guarantee may also displace work of
+any rank that another team runs beyond its own guarantee. Nothing else is ever stopped for room.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from petrelthread.placement.place import Slot, Want
+
+
+class Victim(NamedTuple):
+    """A running task that might be stopped."""
+
+    job: int
+    task: int
+    team: int
+    rank: int
+    machine: int
+    cores: float
+    accelerators: float
+    ram_gb: float
+    ran_s: float  # what would be lost
+
+
+def may_displace(want: Want, rank: int, guaranteed: bool, victim: Victim, over: float) -> bool:
+    """``over``: cores that the victim's team uses beyond its guarantee."""
+    if victim.rank < rank:
+        return True
+    return guaranteed and victim.team != want.team and over + 1e-6 >= victim.cores > 0
+
+
+def choose_victims(
+    want: Want,
+    rank: int,
+    guaranteed: bool,
+    needed: int,
+    victims: list[Victim],
+    slots: dict[int, Slot],
+    over: list[float],
+) -> list[Victim]:
+    """The least loss that makes room for ``needed`` tasks of the job, as far as it goes.
+
+    A stop that does not end in room for a task is worth nothing, so each machine is emptied only
+    as far as one more task needs.
+    """
+    chosen: list[Victim] = []
+    over = list(over)
+    by_machine: dict[int, list[Victim]] = {}
+    for victim in sorted(victims, key=lambda v: (v.rank, v.ran_s, v.job, v.task)):
+        by_machine.setdefault(victim.machine, []).append(victim)
+    for machine, there in sorted(by_machine.items(), key=lambda item: item[1][0].ran_s):
+        if needed <= 0:
+            break
+        slot = slots.get(machine)
+        if slot is None or not slot.allowed(want) or slot.fits(want):
+            continue
+        cores, accelerators, ram_gb = slot.cores, slot.accelerators, slot.ram_gb
+        taken: list[Victim] = []
+        for victim in there:
+            if not may_displace(want, rank, guaranteed, victim, over[victim.team]):
+                continue
+            taken.append(victim)
+            over[victim.team] -= victim.cores
+            cores += victim.cores
+            accelerators += victim.accelerators
+            ram_gb += victim.ram_gb
+            if (
+                cores + 1e-6 >= want.cores
+                and accelerators + 1e-6 >= want.accelerators
+                and ram_gb + 1e-6 >= want.ram_gb
+            ):
+                chosen += taken
+                needed -= 1
+                break
+        else:
+            for victim in taken:
+                over[victim.team] += victim.cores
+    return chosen
--- /dev/null
+++ b/petrelthread/placement/rounds.py
@@ -0,0 +1,396 @@
+"""The leader's rounds: decide, claim, and only then send."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from petrelthread import wire
+from petrelthread.fleet import Dispatch, Fleet, Health, Machine
+from petrelthread.ledger import Attempt, Book, Claims, Job, Op, Outcome, pack_done, pack_round
+from petrelthread.placement.order import Standing, order
+from petrelthread.placement.place import Slot, TeamRoom, Want, place
+from petrelthread.placement.preempt import Victim, choose_victims
+from petrelthread.settings import Settings
+from petrelthread.store import ROOT
+
+log = logging.getLogger(__name__)
+
+Placement = tuple[Job, int, Machine]  # job, task, machine
+
+
+class Estimates:
+    """How much longer than their owners' estimates the tasks of each class really run."""
+
+    def __init__(self) -> None:
+        self._ratio: dict[int, float] = {}
+        self._seen: dict[int, int] = {}
+
+    def learn(self, job: Job, ran_s: float) -> None:
+        if job.guess_s <= 0:
+            return
+        ratio = min(10.0, max(0.1, ran_s / job.guess_s))
+        seen = self._seen[job.jobclass] = min(50, self._seen.get(job.jobclass, 0) + 1)
+        old = self._ratio.get(job.jobclass, 1.0)
+        self._ratio[job.jobclass] = old + (ratio - old) / (seen + 2)
+
+    def run_s(self, job: Job) -> float:
+        return max(0.5, job.guess_s * self._ratio.get(job.jobclass, 1.0))
+
+
+class Rounds:
+    def __init__(
+        self,
+        settings: Settings,
+        book: Book,
+        fleet: Fleet,
+        claims: Claims,
+        dispatch: Dispatch,
+        hulls: Callable[[], dict[int, wire.Hull]],
+        estimates: Estimates,
+        refresh: Callable[[], Awaitable[bool]],
+    ) -> None:
+        self._book = book
+        self._fleet = fleet
+        self._claims = claims
+        self._dispatch = dispatch
+        self._hulls = hulls
+        self.estimates = estimates
+        self._refresh = refresh
+        state = settings.cluster.state
+        self._value_most = int(state.value_kb * 1024 * 0.85)
+        self._ops_most = state.txn_ops
+        self.teams = settings.cluster.teams
+        self._guarantees = [(t.cpus, t.gpus) for t in self.teams]
+        self._objectives: dict[int, float] = {}
+        for objective in settings.cluster.objectives:
+            if objective.kind == "finished" and objective.within_s > 0:
+                index = book.names.classes.index(objective.jobclass)
+                best = self._objectives.get(index, objective.within_s)
+                self._objectives[index] = min(best, objective.within_s)
+        self._number = 0
+        self._cursor = 0
+        self.dead_keys: list[str] = []  # records that are settled, to be dropped
+        self.gap_s = 0.4
+        self.budget_s = 0.05
+        self.patience_s = 8.0
+        self.wake = asyncio.Event()
+
+    def take_over(self, epoch: int) -> None:
+        self._number = epoch << 20
+        self._cursor = 0
+        self.dead_keys.clear()
+
+    def next_number(self) -> int:
+        """Never used before: the epoch is ours alone."""
+        self._number += 1
+        return self._number
+
+    # ---- views ------------------------------------------------------------------------------
+
+    def slots(self) -> dict[int, Slot]:
+        out: dict[int, Slot] = {}
+        hulls = self._hulls()
+        for machine in self._fleet.machines.values():
+            hull = hulls.get(machine.type)
+            if hull is None or not machine.open or machine.epoch_heard != self._fleet.epoch:
+                continue
+            slot = Slot(
+                machine.index,
+                machine.type,
+                machine.zone,
+                machine.spot,
+                hull.cores,
+                hull.accelerators,
+                hull.ram_gb,
+                set(machine.images),
+            )
+            for attempt in self._fleet.attempts(machine).values():
+                if not attempt.ended:
+                    job = attempt.job
+                    slot.cores -= job.cores
+                    slot.accelerators -= job.accelerators
+                    slot.ram_gb -= job.ram_gb
+                    slot.images.add(job.image)
+            out[machine.index] = slot
+        return out
+
+    def team_use(self) -> list[tuple[float, float]]:
+        """What each team's tasks use or may be using, wherever they are."""
+        use = [(0.0, 0.0)] * len(self._book.names.teams)
+        for there in self._book.on_machine.values():
+            for attempt in there.values():
+                if not attempt.ended:
+                    job = attempt.job
+                    cores, accelerators = use[job.team]
+                    use[job.team] = (cores + job.cores, accelerators + job.accelerators)
+        return use
+
+    def due_at(self, job: Job) -> float:
+        if job.due_s is not None:
+            return job.accepted_at + float(job.due_s)
+        within = self._objectives.get(job.jobclass)
+        return job.accepted_at + within if within is not None else float("inf")
+
+    def standings(self) -> list[Standing]:
+        out = []
+        for job in self._book.open.values():
+            left = job.tasks - job.done
+            out.append(
+                Standing(
+                    job.index,
+                    job.team,
+                    job.rank,
+                    job.accepted_at,
+                    self.due_at(job),
+                    self.estimates.run_s(job),
+                    left * job.cores,
+                    left * job.accelerators,
+                )
+            )
+        return out
+
+    def want(self, job: Job) -> Want:
+        live_zones: dict[int, int] = {}
+        if job.same_place or job.scatter:
+            for attempt in job.live.values():
+                machine = self._fleet.machines.get(attempt.machine)
+                if machine is not None and not attempt.ended:
+                    live_zones[machine.zone] = live_zones.get(machine.zone, 0) + 1
+        return Want(
+            job.index,
+            job.team,
+            job.tasks,
+            job.pending,
+            job.cores,
+            job.accelerators,
+            job.ram_gb,
+            job.image,
+            job.types,
+            job.zone,
+            job.spot,
+            job.same_place,
+            job.scatter,
+            live_zones,
+            frozenset(job.failed_on),
+        )
+
+    # ---- one round --------------------------------------------------------------------------
+
+    def decide(self, now: float) -> list[Placement]:
+        ordered = order(self.standings(), self._guarantees, time.time())
+        wants: list[Want] = []
+        guaranteed: dict[int, bool] = {}
+        for index, inside in ordered:
+            job = self._book.jobs[index]
+            if job.pending > 0 and now >= job.not_before:
+                wants.append(self.want(job))
+                guaranteed[index] = inside
+        if not wants:
+            return []
+        slots = self.slots()
+        use = self.team_use()
+        teams = [
+            TeamRoom(team.cpus_max - use[i][0], team.gpus_max - use[i][1])
+            for i, team in enumerate(self.teams)
+        ]
+        clock = asyncio.get_running_loop().time
+        stop_at = clock() + self.budget_s
+        done = place(wants, list(slots.values()), teams, self._cursor, lambda: clock() >= stop_at)
+        self._cursor = done.next_start
+        if done.next_start:
+            self.wake.set()
+        placements: list[Placement] = []
+        tasks: dict[int, Any] = {}
+        placed: dict[int, int] = {}
+        for job_index, machine_index in done.placed:
+            job = self._book.jobs[job_index]
+            if job_index not in tasks:
+                tasks[job_index] = job.pending_tasks()
+            placements.append((job, next(tasks[job_index]), self._fleet.machines[machine_index]))
+            placed[job_index] = placed.get(job_index, 0) + 1
+        if not done.next_start:
+            self._preempt(wants, guaranteed, placed, teams, slots, use, now)
+        return placements
+
+    def _preempt(
+        self,
+        wants: list[Want],
+        guaranteed: dict[int, bool],
+        placed: dict[int, int],
+        teams: list[TeamRoom],
+        slots: dict[int, Slot],
+        use: list[tuple[float, float]],
+        now: float,
+    ) -> None:
+        """Stop work for jobs that had to wait too long; what stops now makes room next round."""
+        victims: list[Victim] | None = None
+        for want in wants:
+            job = self._book.jobs[want.job]
+            waiting_s = time.time() - job.accepted_at
+            lacking = min(want.pending - placed.get(want.job, 0), teams[want.team].most(want))
+            if lacking <= 0 or waiting_s < self.patience_s or want.same_place or want.scatter:
+                continue
+            if job.rank < 2 and not guaranteed[want.job]:
+                continue
+            if victims is None:
+                victims = self._victims(now)
+                stopping = sum(
+                    1
+                    for there in self._book.on_machine.values()
+                    for a in there.values()
+                    if a.halted_at and not a.ended
+                )
+                if stopping:
+                    return  # let the room made so far be used first
+            over = [u[0] - t.cpus for u, t in zip(use, self.teams, strict=False)]
+            for victim in choose_victims(
+                want, job.rank, guaranteed[want.job], lacking, victims, slots, over
+            ):
+                attempt = self._book.jobs[victim.job].live.get(victim.task)
+                if attempt is not None:
+                    attempt.halted_at = now
+                    log.info(
+                        "stopping %s/%d to make room for %s", attempt.job.id, attempt.task, job.id
+                    )
+            return
+
+    def _victims(self, now: float) -> list[Victim]:
+        out = []
+        for there in self._book.on_machine.values():
+            for attempt in there.values():
+                if attempt.state is not Op.CONFIRMED or attempt.ended or attempt.halted_at:
+                    continue
+                job = attempt.job
+                ran_s = now - attempt.running_at if attempt.running_at else 0.0
+                out.append(
+                    Victim(
+                        job.index,
+                        attempt.task,
+                        job.team,
+                        job.rank,
+                        attempt.machine,
+                        job.cores,
+                        job.accelerators,
+                        job.ram_gb,
+                        ran_s,
+                    )
+                )
+        return out
+
+    def drain(self, now: float) -> None:
+        """On machines that the cloud will take, stop what cannot complete in time."""
+        for machine in self._fleet.machines.values():
+            if machine.health is not Health.DRAINING or machine.notice_s is None:
+                continue
+            left_s = machine.notice_s - (now - machine.notice_at)
+            for attempt in self._fleet.attempts(machine).values():
+                if attempt.ended or attempt.halted_at:
+                    continue
+                ran_s = now - attempt.running_at if attempt.running_at else 0.0
+                if self.estimates.run_s(attempt.job) - ran_s > max(left_s, 0.0):
+                    attempt.halted_at = now
+
+    async def round(self, now: float) -> bool:
+        """Decide and claim once. True if there is more to write at once."""
+        book = self._book
+        self.drain(now)
+        placements = self.decide(now)
+        ops: list[dict[str, Any]] = []
+        absent: list[str] = []
+        # Jobs that are complete: one key says so, and stands for all their tasks.
+        completed: list[Job] = []
+        partly: dict[str, list[int]] = {}
+        for index, tasks in list(self._fleet.finished.items()):
+            job = book.jobs[index]
+            if job.final is not None:
+                del self._fleet.finished[index]
+                self._release_ended(job)
+            elif job.done + len(tasks) >= job.tasks:
+                completed.append(job)
+            else:
+                partly[job.id] = tasks
+        completed = completed[: max(1, self._ops_most - 3)]
+        for job in completed:
+            ops.append(wire.put(f"{ROOT}f/{job.id}", wire.DONE))
+            absent.append(f"f/{job.id}")
+        marker: str | None = None
+        done_number = 0
+        done_record: list[Any] = []
+        if partly:
+            done_record, _ = pack_done(partly, self._value_most)
+            done_number = self.next_number()
+            marker = f"d/{done_number}"
+            ops.append(wire.put(ROOT + marker, done_record))
+        records = pack_round(
+            ((m.name, m.session, job.id, task) for job, task, m in placements), self._value_most
+        )
+        rounds: list[tuple[int, Any]] = []
+        for record in records[: max(1, self._ops_most - len(ops))]:
+            number = self.next_number()
+            rounds.append((number, record))
+            ops.append(wire.put(f"{ROOT}r/{number}", record))
+            marker = marker or f"r/{number}"
+        more = len(rounds) < len(records)
+        # Settled records go when there is room, and never cause a write of their own too often.
+        dead = [f"r/{n}" for n in book.dead_rounds()] + [f"d/{n}" for n in book.dead_done_records()]
+        dead += self.dead_keys
+        room = self._ops_most - len(ops)
+        dropping = dead[: max(0, room)] if ops or len(dead) >= self._ops_most else []
+        ops += [wire.drop(ROOT + key) for key in dropping]
+        if not ops:
+            return False
+        outcome, failed = await self._claims.claim(ops, marker, tuple(absent))
+        if outcome is Outcome.FENCED:
+            return False
+        if outcome is Outcome.CLASHED:
+            # A job was cancelled in between (or an earlier, unanswered claim of ours did count):
+            # only the state service can say which.
+            log.info("claim clashed on %s", ", ".join(failed))
+            return await self._refresh()
+        for key in dropping:
+            self._dropped(key)
+        for job in completed:
+            self._fleet.finished.pop(job.index, None)
+            for attempt in list(job.live.values()):
+                book.release(attempt, done=True)
+            book.finish(job.id, wire.DONE)
+        if done_number:
+            book.apply_done(done_number, done_record)
+            self._forget_finished(done_record)
+        launched: list[Attempt] = []
+        for number, record in rounds:
+            launched += book.apply_round(number, record, Op.DISPATCHING)
+        for attempt in launched:
+            attempt.at = now
+        self._dispatch.launch(launched)
+        return more or bool(self._fleet.finished)
+
+    def _release_ended(self, job: Job) -> None:
+        for attempt in list(job.live.values()):
+            if attempt.ended:
+                self._book.release(attempt, done=True)
+
+    def _dropped(self, key: str) -> None:
+        kind, _, number = key.partition("/")
+        if kind == "r":
+            self._book.rounds.pop(int(number), None)
+        elif kind == "d":
+            self._book.done_records.pop(int(number), None)
+        elif key in self.dead_keys:
+            self.dead_keys.remove(key)
+
+    def _forget_finished(self, record: list[Any]) -> None:
+        for job_id, _ in record:
+            job = self._book.by_id[job_id]
+            tasks = self._fleet.finished.get(job.index)
+            if tasks is None:
+                continue
+            left = [task for task in tasks if job.final is None and job.states[task] != 2]
+            if left:
+                self._fleet.finished[job.index] = left
+            else:
+                del self._fleet.finished[job.index]
--- /dev/null
+++ b/petrelthread/placement/test_place.py
@@ -0,0 +1,152 @@
+"""The real placement compared with a slow plain model over seeded random cases."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from petrelthread.placement import Slot, Standing, TeamRoom, Want, order, place
+
+TYPES, ZONES, IMAGES = 3, 3, 4
+
+
+def random_case(seed: int) -> tuple[list[Want], list[Slot], list[TeamRoom]]:
+    r = random.Random(seed)
+    slots = [
+        Slot(
+            machine,
+            r.randrange(TYPES),
+            r.randrange(ZONES),
+            r.random() < 0.5,
+            float(r.choice([2, 4, 8])),
+            float(r.choice([0, 0, 2])),
+            float(r.choice([4, 8, 32])),
+            set(r.sample(range(IMAGES), r.randrange(3))),
+        )
+        for machine in range(r.randrange(1, 12))
+    ]
+    wants = []
+    for job in range(r.randrange(1, 8)):
+        pending = r.randrange(1, 12)
+        same_place, scatter = r.random() < 0.2, r.random() < 0.2
+        live = {}
+        if (same_place or scatter) and r.random() < 0.5:
+            live = {r.randrange(ZONES): r.randrange(1, 3)}
+        wants.append(
+            Want(
+                job,
+                r.randrange(2),
+                pending + sum(live.values()),
+                pending,
+                float(r.choice([1, 2, 3])),
+                float(r.choice([0, 0, 0, 1])),
+                float(r.choice([1, 3, 6])),
+                r.randrange(IMAGES),
+                frozenset(r.sample(range(TYPES), 2)) if r.random() < 0.3 else None,
+                r.randrange(ZONES) if r.random() < 0.2 else None,
+                r.random() < 0.8,
+                same_place,
+                scatter,
+                live,
+                frozenset({0}) if r.random() < 0.1 else frozenset(),
+            )
+        )
+    return wants, slots, [TeamRoom(float(r.choice([4, 10, 40])), 3.0) for _ in range(2)]
+
+
+def model(wants: list[Want], slots: list[Slot], teams: list[TeamRoom]) -> list[tuple[int, int]]:
+    """Task by task, looking at every machine each time."""
+    placed = []
+    for want in wants:
+        zones = dict(want.live_zones)
+        chosen = None
+        if want.same_place:
+            if zones:
+                chosen = next(iter(zones))
+            else:
+                team = teams[want.team]
+                most = min(want.pending, int(team.cores / want.cores + 1e-6))
+                if want.accelerators:
+                    most = min(most, int(team.accelerators / want.accelerators + 1e-6))
+                room = {}
+                for s in slots:
+                    if s.allowed(want) and s.fits(want):
+                        room[s.zone] = room.get(s.zone, 0) + int(s.cores / want.cores + 1e-6)
+                if not room:
+                    continue
+                chosen = min(room, key=lambda z: (-min(room[z], most), z))
+        for _ in range(want.pending):
+            team = teams[want.team]
+            if team.cores + 1e-6 < want.cores or team.accelerators + 1e-6 < want.accelerators:
+                break
+            best = None
+            for s in slots:
+                if not s.allowed(want) or not s.fits(want):
+                    continue
+                if chosen is not None and s.zone != chosen:
+                    continue
+                if want.scatter and zones.get(s.zone, 0) >= (want.tasks + 1) // 2:
+                    continue
+                key = (want.image not in s.images, -s.cores, -s.ram_gb, s.machine)
+                if best is None or key < best[0]:
+                    best = (key, s)
+            if best is None:
+                break
+            slot = best[1]
+            slot.cores -= want.cores
+            slot.accelerators -= want.accelerators
+            slot.ram_gb -= want.ram_gb
+            slot.images.add(want.image)
+            team.cores -= want.cores
+            team.accelerators -= want.accelerators
+            zones[slot.zone] = zones.get(slot.zone, 0) + 1
+            placed.append((want.job, slot.machine))
+    return placed
+
+
+@pytest.mark.parametrize("block", range(10))
+def test_placement_is_the_models(block: int) -> None:
+    some = 0
+    for seed in range(block * 200, block * 200 + 200):
+        expected = model(*random_case(seed))
+        got = place(*random_case(seed))
+        assert got.next_start == 0
+        assert sorted(got.placed) == sorted(expected), f"seed {seed}"
+        some += bool(expected)
+    assert some > 100  # the cases are not trivial
+
+
+def test_a_round_out_of_time_goes_on_where_it_stopped() -> None:
+    for seed in range(200):
+        wants, slots, teams = random_case(seed)
+        wants = [w for w in wants if w.scatter is False]
+        if len(wants) < 2:
+            continue
+        first = place(wants, slots, teams, 0, lambda: True)
+        assert {job for job, _ in first.placed} <= {wants[0].job}
+        assert first.next_start == 1
+        served = [job for job, _ in place(wants, slots, teams, 1, lambda: True).placed]
+        assert set(served) <= {wants[1].job}
+
+
+def test_order_is_guarantee_then_rank_then_deadline() -> None:
+    inf = float("inf")
+    jobs = [
+        Standing(0, 0, 1, 10.0, 500.0, 5.0, 100.0, 0.0),
+        Standing(1, 0, 2, 11.0, 400.0, 5.0, 100.0, 0.0),
+        Standing(2, 0, 2, 12.0, 300.0, 5.0, 100.0, 0.0),
+        Standing(3, 1, 0, 13.0, inf, 5.0, 4.0, 0.0),  # lowest rank, but guaranteed
+        Standing(4, 0, 2, 1.0, 21.0, 5.0, 100.0, 0.0),  # can no longer be in time
+    ]
+    got = order(jobs, [(8.0, 0.0), (8.0, 0.0)], now=20.0)
+    assert got == [(3, True), (2, False), (1, False), (4, False), (0, False)]
+
+
+def test_guarantee_counts_the_teams_earlier_jobs() -> None:
+    jobs = [
+        Standing(0, 0, 1, 1.0, 9e9, 1.0, 6.0, 0.0),
+        Standing(1, 0, 1, 2.0, 9e9, 1.0, 4.0, 0.0),  # does not fit along with the first
+        Standing(2, 0, 1, 3.0, 9e9, 1.0, 2.0, 0.0),
+    ]
+    assert dict(order(jobs, [(8.0, 0.0)], 0.0)) == {0: True, 1: False, 2: True}
--- /dev/null
+++ b/petrelthread/rental/cloud.py
@@ -0,0 +1,86 @@
+"""Calls to the cloud. A refusal, a lost reply and a garbled one are three different things."""
+
+from __future__ import annotations
+
+from typing import Any, TypeVar
+from urllib.parse import quote
+
+import msgspec
+
+from petrelthread import wire
+from petrelthread.http import NoAnswer, Reply
+from petrelthread.store import Budget, Request
+
+T = TypeVar("T")
+
+
+class CloudDown(Exception):
+    """Surely not carried out."""
+
+
+class CloudUnsure(Exception):
+    """May have been carried out, or may still be."""
+
+
+class NoCapacity(Exception):
+    """None available for this type, zone and kind."""
+
+
+class CloudClient:
+    def __init__(self, request: Request, addr: str, budget: Budget) -> None:
+        self._request = request
+        self._addr = addr
+        self._budget = budget
+
+    async def _call(
+        self, method: str, target: str, body: Any = None, timeout: float = 4.0
+    ) -> Reply:
+        await self._budget.take()
+        try:
+            reply = await self._request(self._addr, method, target, body, timeout=timeout)
+        except NoAnswer as error:
+            if error.sent:
+                raise CloudUnsure(str(error)) from None
+            raise CloudDown(str(error)) from None
+        if reply.status == 503 and b"no capacity" in reply.body:
+            raise NoCapacity
+        if reply.status in (429, 503, 400):
+            raise CloudDown(f"status {reply.status}: {reply.body[:100]!r}")
+        if reply.status != 200:
+            raise CloudUnsure(f"status {reply.status}")
+        return reply
+
+    @staticmethod
+    def _decode(body: bytes, kind: type[T]) -> T:
+        try:
+            return msgspec.json.decode(body, type=kind)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise CloudUnsure(f"garbled answer: {error}") from None
+
+    async def catalog(self) -> wire.Catalog:
+        reply = await self._call("GET", wire.CATALOG_PATH)
+        return self._decode(reply.body, wire.Catalog)
+
+    async def rent(
+        self, charter: str, hull: str, zone: str, spot: bool, count: int
+    ) -> tuple[str, ...]:
+        body = wire.rent_request(charter, hull, zone, spot, count)
+        reply = await self._call("POST", wire.HOSTS_PATH, body)
+        return self._decode(reply.body, wire.Rented).perches
+
+    async def give_back(self, names: list[str]) -> None:
+        await self._call("POST", wire.RETURN_PATH, wire.return_request(names))
+
+    async def list(self) -> list[wire.Listed]:
+        found: list[wire.Listed] = []
+        after = ""
+        while True:
+            target = f"{wire.HOSTS_PATH}?limit={wire.LIST_MOST}"
+            if after:
+                target += f"&from={quote(after)}"
+            reply = await self._call("GET", target)
+            page = self._decode(reply.body, wire.HostList)
+            found += page.perches
+            if not page.more or not page.perches:
+                return found
+            after = page.perches[-1].name_id
--- /dev/null
+++ b/petrelthread/rental/keeper.py
@@ -0,0 +1,464 @@
+"""The leader's duty towards the cloud: rent, list, return, and settle what stayed unanswered."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+from typing import Any
+
+from petrelthread import wire
+from petrelthread.fleet import Fleet, Health, Machine
+from petrelthread.ledger import Book, Claims, Op, Outcome, move
+from petrelthread.placement.rounds import Rounds
+from petrelthread.rental.cloud import CloudClient, CloudDown, CloudUnsure, NoCapacity
+from petrelthread.rental.plan import Demand, Offer, Options, Owned, Plan, Refusals, Rent, plan
+from petrelthread.settings import Settings
+from petrelthread.store import ROOT
+
+log = logging.getLogger(__name__)
+
+LIST_EVERY_S = 10.0
+CATALOG_EVERY_S = 60.0
+REPEAT_S = 1.5
+
+
+class CloudOp:
+    """One recorded call to the cloud."""
+
+    __slots__ = ("busy", "key", "next_try", "state", "unknown_at", "value")
+
+    def __init__(self, key: str, value: Any, state: Op) -> None:
+        self.key = key
+        self.value = value
+        self.state = state
+        self.unknown_at = 0.0
+        self.next_try = 0.0
+        self.busy = False
+
+
+class Keeper:
+    def __init__(
+        self,
+        settings: Settings,
+        book: Book,
+        fleet: Fleet,
+        claims: Claims,
+        cloud: CloudClient,
+        rounds: Rounds,
+        options: Callable[[], Options],
+        leading: Callable[[], bool],
+    ) -> None:
+        self._settings = settings
+        self._book = book
+        self._fleet = fleet
+        self._claims = claims
+        self._cloud = cloud
+        self._rounds = rounds
+        self._options = options
+        self._leading = leading
+        self.refusals = Refusals()
+        self.hulls: dict[int, wire.Hull] = {}
+        self.ops: dict[str, CloudOp] = {}
+        self.last_plan: Plan | None = None
+        self._serial = 0
+        self._listed_at = float("-inf")
+        self._catalog_at = float("-inf")
+        self._accepted: list[tuple[float, float]] = []  # (when, cores) of jobs that must start soon
+        self._waiting_classes = {
+            book.names.classes.index(o.jobclass)
+            for o in settings.cluster.objectives
+            if o.kind == "wait"
+        }
+        self.wake = asyncio.Event()
+
+    # ---- catalogue ---------------------------------------------------------------------------
+
+    def set_catalog(self, catalog: wire.Catalog) -> None:
+        for hull in catalog.hulls:
+            self.hulls[self._book.names.types.index(hull.sku)] = hull
+
+    def catalog(self) -> tuple[wire.Hull, ...] | None:
+        return tuple(self.hulls.values()) or None
+
+    async def read_catalog(self, now: float) -> bool:
+        """Also followers need the machine types, to judge submissions."""
+        if now - self._catalog_at < (CATALOG_EVERY_S if self.hulls else 1.0):
+            return bool(self.hulls)
+        self._catalog_at = now
+        try:
+            self.set_catalog(await self._cloud.catalog())
+        except (CloudDown, CloudUnsure, NoCapacity) as error:
+            log.info("cloud: no catalogue: %s", error)
+        return bool(self.hulls)
+
+    # ---- take-over ---------------------------------------------------------------------------
+
+    def take_over(self, now: float) -> None:
+        self.ops.clear()
+        self._serial = 0
+        self._listed_at = float("-inf")
+        for charter, value in self._book.rentals.items():
+            op = CloudOp(f"c/{charter}", value, Op.UNKNOWN)
+            op.unknown_at = now
+            self.ops[op.key] = op
+            if value.get("m") is not None:
+                move(op, Op.CONFIRMED)
+                self._machines_of(op, value["m"], now)
+        for number, names in self._book.returns.items():
+            op = CloudOp(f"x/{number}", names, Op.UNKNOWN)
+            op.unknown_at = now
+            self.ops[op.key] = op
+            for name in names:
+                machine = self._fleet.machine(name, now)
+                if machine.health is not Health.GONE:
+                    machine.move(Health.RETURNING)
+
+    def _machines_of(self, op: CloudOp, names: list[str], now: float) -> None:
+        value = op.value
+        for name in names:
+            machine = self._fleet.machine(name, now)
+            if not machine.charter:
+                machine.charter = op.key
+                machine.type = self._book.names.types.index(value["t"])
+                machine.zone = self._book.names.zones.index(value["z"])
+                machine.spot = bool(value["s"])
+                machine.rented_at = now - max(0.0, time.time() - float(value["at"]))
+
+    # ---- the loop ----------------------------------------------------------------------------
+
+    async def step(self, now: float) -> None:
+        """One turn: settle, list, plan, and make the calls."""
+        await self.read_catalog(now)
+        await self._settle(now)
+        if now - self._listed_at >= LIST_EVERY_S:
+            await self._read_list(now)
+        if not self.hulls or not self._leading():
+            return
+        plan = self._plan(now)
+        self.last_plan = plan
+        await self._return(self._to_return(plan, now), now)
+        calls = [self._rent(rent, now) for rent in plan.rents]
+        if calls:
+            await asyncio.gather(*calls)
+
+    async def _settle(self, now: float) -> None:
+        for op in list(self.ops.values()):
+            if not self._leading():
+                return
+            if op.state is not Op.UNKNOWN or op.busy or now < op.next_try:
+                continue
+            if op.key.startswith("x/"):
+                await self._send_return(op, now)
+            elif self._book.open:
+                # Still wanted: the same charter again rents nothing twice.
+                await self._send_rent(op, now)
+            elif now - op.unknown_at > 4 * self._settings.cluster.cloud.list_lag_s + 5.0:
+                # Not wanted: whatever a late request still rents shows in the list, unrecorded,
+                # idles there and goes back.
+                log.info("operation superseded: rental %s, no longer wanted", op.key)
+                move(op, Op.SUPERSEDED)
+                self._drop(op)
+
+    def _drop(self, op: CloudOp) -> None:
+        self.ops.pop(op.key, None)
+        self._book.rentals.pop(op.key[2:], None)
+        self._book.returns.pop(op.key[2:], None)
+        self._rounds.dead_keys.append(op.key)
+
+    # ---- list ---------------------------------------------------------------------------------
+
+    async def _read_list(self, now: float) -> None:
+        self._listed_at = now
+        try:
+            listed = await self._cloud.list()
+        except (CloudDown, CloudUnsure, NoCapacity) as error:
+            log.info("cloud: no list: %s", error)
+            return
+        names = set()
+        for entry in listed:
+            names.add(entry.name_id)
+            fresh = self._fleet.known(entry.name_id) is None
+            machine = self._fleet.machine(entry.name_id, now)
+            if fresh:
+                log.info("machine %s is listed without a record", entry.name_id)
+                machine.rented_at = now - entry.held_s
+            machine.listed = True
+            machine.addr = machine.addr or entry.addr
+            machine.type = self._book.names.types.index(entry.hull)
+            machine.zone = self._book.names.zones.index(entry.roost)
+            machine.spot = entry.driftwood
+            if entry.status == wire.HOST_FAILED and not machine.fault:
+                machine.fault = "listed as failed"
+                log.info("machine %s has failed", machine.name)
+        for machine in self._fleet.machines.values():
+            gone = machine.listed and machine.name not in names and not machine.fault
+            if gone and machine.health not in (Health.GONE, Health.RETURNING, Health.UP):
+                machine.fault = "no longer listed"
+                log.info("machine %s is gone from the list", machine.name)
+
+    # ---- plan ---------------------------------------------------------------------------------
+
+    def note_accepted(self, jobclass: int, cores: float, now: float) -> None:
+        if jobclass in self._waiting_classes:
+            self._accepted.append((now, cores))
+
+    def _reserve(self, now: float) -> float:
+        """Cores that jobs which must start soon are likely to ask for within a boot time."""
+        window = 90.0
+        self._accepted = [(at, cores) for at, cores in self._accepted if now - at < window]
+        boot = max((h.startup_s for h in self.hulls.values()), default=30.0) + 10.0
+        return sum(cores for _, cores in self._accepted) / window * boot
+
+    def _demands(self, now: float) -> list[Demand]:
+        left = [[team.cpus_max, team.gpus_max] for team in self._rounds.teams]
+        out = []
+        for job in sorted(self._book.open.values(), key=lambda j: j.accepted_at):
+            unfinished = job.tasks - job.done - len(self._fleet.finished.get(job.index, ()))
+            if unfinished <= 0 or now < job.not_before:
+                continue
+            room = left[job.team]
+            tasks = unfinished
+            if job.cores > 0:
+                tasks = min(tasks, int((room[0] + 1e-6) / job.cores))
+            if job.accelerators > 0:
+                tasks = min(tasks, int((room[1] + 1e-6) / job.accelerators))
+            tasks = max(tasks, 0)
+            room[0] -= tasks * job.cores
+            room[1] -= tasks * job.accelerators
+            run_s = self._rounds.estimates.run_s(job)
+            work_s = unfinished * run_s
+            for attempt in job.live.values():
+                if attempt.running_at:
+                    work_s -= min(run_s * 0.9, now - attempt.running_at)
+            out.append(
+                Demand(
+                    tasks,
+                    max(work_s, 0.0),
+                    job.cores,
+                    job.accelerators,
+                    job.ram_gb,
+                    job.types,
+                    job.zone,
+                    job.spot,
+                )
+            )
+        return out
+
+    def _plan(self, now: float) -> Plan:
+        owned = []
+        for machine in self._fleet.machines.values():
+            hull = self.hulls.get(machine.type)
+            if hull is None or machine.fault:
+                continue
+            if machine.health not in (Health.UP, Health.BOOTING):
+                continue
+            busy = machine.index in self._book.on_machine
+            idle = machine.health is Health.UP and not busy
+            owned.append(
+                Owned(
+                    machine.index,
+                    machine.type,
+                    machine.zone,
+                    machine.spot,
+                    hull.cores,
+                    hull.accelerators,
+                    hull.ram_gb,
+                    hull.low_price if machine.spot else hull.hourly,
+                    now - machine.idle_since if idle else None,
+                    machine.health is Health.UP,
+                )
+            )
+        offers = []
+        for index, hull in self.hulls.items():
+            for zone_name in hull.roosts:
+                zone = self._book.names.zones.index(zone_name)
+                for spot in (True, False):
+                    price = hull.low_price if spot else hull.hourly
+                    if price > 0 and self.refusals.open(index, zone, spot, now):
+                        offers.append(
+                            Offer(
+                                index,
+                                zone,
+                                spot,
+                                hull.cores,
+                                hull.accelerators,
+                                hull.ram_gb,
+                                price,
+                                hull.startup_s,
+                            )
+                        )
+        options = self._options()
+        reserve = self._reserve(now) * options.reserve_share
+        return plan(self._demands(now), owned, offers, reserve, options, 6)
+
+    # ---- return -------------------------------------------------------------------------------
+
+    def _to_return(self, plan: Plan, now: float) -> list[Machine]:
+        machines = self._fleet.machines
+        out = [machines[index] for index in plan.returns]
+        up = sum(m.health in (Health.UP, Health.DRAINING) for m in machines.values())
+        silent = [m for m in machines.values() if m.health is Health.SILENT]
+        many = len(silent) >= 4 and len(silent) > up
+        lag = self._settings.cluster.cloud.list_lag_s
+        for machine in machines.values():
+            if machine.health in (Health.GONE, Health.RETURNING):
+                continue
+            hull = self.hulls.get(machine.type)
+            boot_s = hull.startup_s if hull else 60.0
+            why = ""
+            if machine.fault:
+                why = machine.fault
+            elif machine.health is Health.SILENT:
+                # If most fall silent at once, the trouble is rather ours or a network's: wait
+                # until their leases have run out before paying for new ones.
+                if not many or now > self._fleet.gone_at(machine):
+                    why = "silent"
+            elif machine.health is Health.DRAINING and machine.notice_s is not None:
+                if machine.index not in self._book.on_machine:
+                    why = "drained before it is taken"
+            elif machine.health is Health.BOOTING:
+                limit = max(2.5 * boot_s, boot_s + 2 * lag)
+                if now - machine.rented_at > limit and now - machine.known_at > boot_s:
+                    why = "never came up"
+            if why:
+                log.info("returning machine %s: %s", machine.name, why)
+                out.append(machine)
+        return list({m.index: m for m in out}.values())[: wire.RETURN_MOST]
+
+    async def _return(self, machines: list[Machine], now: float) -> None:
+        if not machines:
+            return
+        limit = int(self._settings.cluster.state.value_kb * 1024 * 0.8)
+        names: list[str] = []
+        for machine in machines:
+            if sum(len(n) + 3 for n in names) + len(machine.name) + 3 > limit:
+                break
+            names.append(machine.name)
+        key = f"x/{self._next()}"
+        op = CloudOp(key, names, Op.AUTHORIZED)
+        outcome, _ = await self._claims.claim([wire.put(ROOT + key, names)], key)
+        if outcome is not Outcome.WON:
+            return
+        move(op, Op.DISPATCHING)
+        self.ops[key] = op
+        self._book.returns[key[2:]] = names
+        for machine in machines[: len(names)]:
+            if machine.health is not Health.GONE:
+                machine.move(Health.RETURNING)
+        await self._send_return(op, now)
+
+    async def _send_return(self, op: CloudOp, now: float) -> None:
+        op.busy = True
+        names: list[str] = op.value
+        try:
+            await self._cloud.give_back(names)
+        except (CloudDown, CloudUnsure, NoCapacity) as error:
+            log.info("return %s not confirmed: %s", op.key, error)
+            move(op, Op.UNKNOWN)
+            op.next_try = now + REPEAT_S
+            return
+        finally:
+            op.busy = False
+        if not self._leading():
+            return  # the next leader asks again, and gets the same confirmation
+        move(op, Op.CONFIRMED)
+        log.info("returned %d machines: %s", len(names), " ".join(names))
+        for name in names:
+            machine = self._fleet.machine(name, now)
+            self._fleet.lost(machine, f"{name} was returned")
+            if machine.health is not Health.GONE:
+                if machine.health is not Health.RETURNING:
+                    machine.move(Health.RETURNING)
+                machine.move(Health.GONE)
+        self._drop(op)
+        self._drop_empty_rentals()
+
+    def _drop_empty_rentals(self) -> None:
+        for op in list(self.ops.values()):
+            if op.state is Op.CONFIRMED and op.key.startswith("c/"):
+                machines = [self._fleet.known(name) for name in op.value["m"]]
+                if all(m is None or m.health is Health.GONE for m in machines):
+                    self._drop(op)
+
+    # ---- rent ---------------------------------------------------------------------------------
+
+    def _next(self) -> str:
+        self._serial += 1
+        return f"{self._fleet.epoch}-{self._serial}"
+
+    async def _rent(self, rent: Rent, now: float) -> None:
+        names = self._book.names
+        key = f"c/{self._next()}"
+        value = {
+            "t": names.types.name(rent.type),
+            "z": names.zones.name(rent.zone),
+            "s": rent.spot,
+            "n": rent.machines,
+            "at": round(time.time(), 1),
+        }
+        op = CloudOp(key, value, Op.AUTHORIZED)
+        op.busy = True
+        outcome, _ = await self._claims.claim([wire.put(ROOT + key, value)], key)
+        if outcome is not Outcome.WON:
+            return
+        move(op, Op.DISPATCHING)
+        self.ops[key] = op
+        self._book.rentals[key[2:]] = value
+        await self._send_rent(op, now)
+
+    async def _send_rent(self, op: CloudOp, now: float) -> None:
+        value = op.value
+        names = self._book.names
+        offer = (names.types.index(value["t"]), names.zones.index(value["z"]), bool(value["s"]))
+        kind = "spot" if value["s"] else "ordinary"
+        op.busy = True
+        try:
+            got = await self._cloud.rent(op.key[2:], value["t"], value["z"], value["s"], value["n"])
+        except NoCapacity:
+            log.info("no capacity: %s %s in %s", kind, value["t"], value["z"])
+            self.refusals.refused(*offer, now)
+            move(op, Op.SUPERSEDED)
+            self._drop(op)
+            return
+        except CloudDown as error:
+            log.info("rental %s not carried out: %s", op.key, error)
+            if op.state is Op.UNKNOWN:  # the first sending may still have been
+                op.next_try = now + REPEAT_S
+                return
+            move(op, Op.SUPERSEDED)
+            self._drop(op)
+            return
+        except CloudUnsure as error:
+            log.info("rental %s unknown: %s", op.key, error)
+            if op.state is Op.DISPATCHING:
+                move(op, Op.UNKNOWN)
+                op.unknown_at = now
+            op.next_try = now + REPEAT_S
+            return
+        finally:
+            op.busy = False
+        if len(got) < value["n"]:
+            self.refusals.refused(*offer, now)
+        else:
+            self.refusals.granted(*offer)
+        if not self._leading():
+            return  # the next leader repeats the charter and gets the same machines
+        move(op, Op.CONFIRMED)
+        log.info(
+            "rented %d of %d %s %s in %s (%s)",
+            len(got),
+            value["n"],
+            kind,
+            value["t"],
+            value["z"],
+            op.key[2:],
+        )
+        op.value = {**value, "m": list(got)}
+        self._machines_of(op, op.value["m"], asyncio.get_running_loop().time())
+        self._book.rentals[op.key[2:]] = op.value
+        if got:
+            await self._claims.claim([wire.put(ROOT + op.key, op.value)])
+        else:
+            self._drop(op)
--- /dev/null
+++ b/petrelthread/rental/plan.py
@@ -0,0 +1,201 @@
+"""The rental decision: pure, from backlog, machines and prices.
+
+Cheap capacity is rented up to what the backlog can keep busy for a short while; dear capacity only
+for backlog that the cheap kind cannot drain in time. What idles goes back.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import NamedTuple
+
+from petrelthread.wire import RENT_MOST
+
+REFUSED_S = 15.0
+REFUSED_MOST_S = 60.0
+
+
+class Options(NamedTuple):
+    """What operators may change; the defaults are what the measured rounds showed to serve best."""
+
+    spot_drain_s: float = 30.0  # spot machines are added until the backlog drains in this time
+    dear_drain_s: float = 90.0  # ordinary ones only until it drains in this time
+    idle_s: float = 20.0  # an idle machine goes back after this, unless it is in reserve
+    reserve_share: float = 0.5  # of the cores asked for lately by jobs that must start quickly
+
+
+class Offer(NamedTuple):
+    type: int
+    zone: int
+    spot: bool
+    cores: float
+    accelerators: float
+    ram_gb: float
+    price: float  # per hour, as charged now
+    startup_s: float
+
+
+class Demand(NamedTuple):
+    """Unfinished work of one job, as far as its team may run it at once."""
+
+    tasks: int  # that could run now, running ones included
+    work_s: float  # run time left in all its unfinished tasks
+    cores: float
+    accelerators: float
+    ram_gb: float
+    types: frozenset[int] | None
+    zone: int | None
+    spot: bool
+
+
+class Owned(NamedTuple):
+    machine: int
+    type: int
+    zone: int
+    spot: bool
+    cores: float
+    accelerators: float
+    ram_gb: float
+    price: float
+    idle_s: float | None  # None while it works or boots
+    up: bool
+
+
+class Rent(NamedTuple):
+    type: int
+    zone: int
+    spot: bool
+    machines: int
+
+
+class Plan(NamedTuple):
+    rents: list[Rent]
+    returns: list[int]
+    wanted_cores: float
+    owned_cores: float
+
+
+class Refusals:
+    """Types, zones and kinds that the cloud refused lately, each with its own back-off."""
+
+    def __init__(self) -> None:
+        self._until: dict[tuple[int, int, bool], tuple[float, float]] = {}
+
+    def refused(self, type: int, zone: int, spot: bool, now: float) -> None:
+        _, last = self._until.get((type, zone, spot), (0.0, REFUSED_S / 2))
+        pause = min(REFUSED_MOST_S, last * 2)
+        self._until[type, zone, spot] = (now + pause, pause)
+
+    def granted(self, type: int, zone: int, spot: bool) -> None:
+        self._until.pop((type, zone, spot), None)
+
+    def open(self, type: int, zone: int, spot: bool, now: float) -> bool:
+        return now >= self._until.get((type, zone, spot), (0.0, 0.0))[0]
+
+    def listed(self, now: float) -> list[tuple[int, int, bool, float]]:
+        return [(*key, until - now) for key, (until, _) in self._until.items() if until > now]
+
+
+def _fits(demand: Demand, offer: Offer | Owned) -> int:
+    """How many tasks of the demand one such machine holds."""
+    if demand.types is not None and offer.type not in demand.types:
+        return 0
+    if (demand.zone is not None and offer.zone != demand.zone) or (offer.spot and not demand.spot):
+        return 0
+    most = math.inf
+    for need, have in (
+        (demand.cores, offer.cores),
+        (demand.accelerators, offer.accelerators),
+        (demand.ram_gb, offer.ram_gb),
+    ):
+        if need > 0:
+            most = min(most, (have + 1e-6) // need)
+    return 0 if most is math.inf else int(most)
+
+
+def _groups(demands: list[Demand]) -> list[list[Demand]]:
+    """Demands that the same machines can serve are planned together."""
+    groups: dict[tuple[frozenset[int] | None, int | None, bool, bool], list[Demand]] = {}
+    for demand in demands:
+        key = (demand.types, demand.zone, demand.spot, demand.accelerators > 0)
+        groups.setdefault(key, []).append(demand)
+    return list(groups.values())
+
+
+def plan(
+    demands: list[Demand],
+    owned: list[Owned],
+    offers: list[Offer],
+    reserve_cores: float,
+    options: Options,
+    calls: int,
+) -> Plan:
+    """``offers``: those not refused lately. ``calls``: rental calls that may be made now."""
+    rents: list[Rent] = []
+    busy_target = 0.0
+    left = list(owned)
+    for group in _groups(demands):
+        could_use = sum(d.tasks * d.cores for d in group)
+        work = sum(d.work_s * d.cores for d in group)
+        cheap_target = min(could_use, work / options.spot_drain_s)
+        dear_target = min(could_use, work / options.dear_drain_s)
+        # Even a single long task wants its core.
+        biggest = max(d.cores for d in group)
+        cheap_target = max(cheap_target, min(could_use, biggest))
+        dear_target = max(dear_target, min(could_use, biggest))
+        cheap_target += reserve_cores if group[0].spot else 0.0
+        # The roomy case stands for the group: its most common shape.
+        shape = max(group, key=lambda d: d.tasks * d.cores)
+        have = 0.0
+        for machine in list(left):
+            fits = _fits(shape, machine)
+            if fits:
+                have += fits * shape.cores
+                left.remove(machine)
+        busy_target += max(cheap_target, dear_target)
+        priced = []
+        for offer in offers:
+            fits = _fits(shape, offer)
+            if fits:
+                priced.append((offer.price / (fits * shape.cores), offer, fits * shape.cores))
+        if not priced:
+            continue
+        for _, offer, cores in sorted(priced, key=lambda p: (p[0], p[1].type, p[1].zone)):
+            dear = group[0].spot and not offer.spot
+            target = dear_target if dear else cheap_target
+            lacking = target - have
+            if lacking <= 1e-6 or len(rents) >= calls:
+                continue
+            count = math.ceil(lacking / cores - 1e-6)
+            if cores > 2 * lacking and len(priced) > 1:
+                # Much larger than needed: left to a smaller one, if that costs less in all.
+                smaller = [p for p, o, c in priced if c < cores and p * c < offer.price]
+                if smaller:
+                    continue
+            count = min(count, RENT_MOST)
+            rents.append(Rent(offer.type, offer.zone, offer.spot, count))
+            have += count * cores
+    return Plan(
+        rents,
+        _returns(owned, busy_target, reserve_cores, options),
+        busy_target,
+        sum(o.cores for o in owned),
+    )
+
+
+def _returns(
+    owned: list[Owned], target: float, reserve_cores: float, options: Options
+) -> list[int]:
+    """Idle machines beyond target and reserve, the dearest core first."""
+    have = sum(o.cores for o in owned)
+    out: list[int] = []
+    idle = [o for o in owned if o.idle_s is not None]
+    for machine in sorted(idle, key=lambda o: (-o.price / max(o.cores, 1e-9), -(o.idle_s or 0))):
+        patience = options.idle_s if machine.spot else options.idle_s / 2
+        if (machine.idle_s or 0.0) < patience:
+            continue
+        if have - machine.cores < max(target, reserve_cores) - 1e-6:
+            continue
+        have -= machine.cores
+        out.append(machine.machine)
+    return out
--- /dev/null
+++ b/petrelthread/settings/__init__.py
@@ -0,0 +1,167 @@
+"""The settings file handed over by the platform: read once, checked, never changed."""
+
+from __future__ import annotations
+
+import math
+import tomllib
+from pathlib import Path
+
+import msgspec
+
+
+class SettingsError(Exception):
+    """The settings file cannot be used; the text names file, field and reason."""
+
+
+class Sibling(msgspec.Struct, frozen=True):
+    host_name: str
+    peer_addr: str
+    zone: str = ""
+
+
+class Endpoints(msgspec.Struct, frozen=True):
+    cloud: str
+    state: str
+
+
+class Team(msgspec.Struct, frozen=True):
+    name: str
+    cpus: float = 0.0
+    cpus_max: float = 0.0
+    gpus: float = 0.0
+    gpus_max: float = 0.0
+
+
+class Objective(msgspec.Struct, frozen=True, rename={"jobclass": "class"}):
+    kind: str
+    jobclass: str = ""
+    within_s: float = 0.0
+    share: float = 0.0
+    times: float = 1.0
+
+
+class Workers(msgspec.Struct, frozen=True):
+    report_s: float
+    lease_s: float
+    cancel_s: float
+
+
+class State(msgspec.Struct, frozen=True):
+    rps: float
+    write_rps: float
+    value_kb: float
+    txn_ops: int
+
+
+class Cloud(msgspec.Struct, frozen=True):
+    rps: float
+    list_lag_s: float
+
+
+class MachineLimits(msgspec.Struct, frozen=True):
+    cpu: float = 1.0
+    ram_mb: float = 512.0
+    max_connections: int = 1000
+
+
+class Cluster(msgspec.Struct, frozen=True):
+    workers: Workers
+    state: State
+    cloud: Cloud
+    machine_limits: MachineLimits = MachineLimits()
+    count: int = 1
+    zones: tuple[str, ...] = ()
+    skew_ms: float = 0.0
+    teams: tuple[Team, ...] = ()
+    objectives: tuple[Objective, ...] = ()
+
+
+class Settings(msgspec.Struct, frozen=True):
+    host_name: str
+    bind: str
+    peer_listen: str
+    endpoints: Endpoints
+    cluster: Cluster
+    zone: str = ""
+    siblings: tuple[Sibling, ...] = ()
+
+    @property
+    def hold_over_s(self) -> float:
+        """How long past its last renewal a leader may keep workers alive without commands.
+
+        A job may be cancelled the moment after that renewal, and its tasks must be gone within
+        ``cancel_s``: hold-over plus a full worker lease has to fit inside.
+        """
+        workers = self.cluster.workers
+        return max(0.0, workers.cancel_s - workers.lease_s * 1.002 - 3.0)
+
+
+def split_addr(addr: str) -> tuple[str, int]:
+    host, sep, port = addr.rpartition(":")
+    if not sep or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"expected host:port, got {addr!r}")
+    return host, int(port)
+
+
+def _check(settings: Settings) -> None:
+    addrs = [
+        ("bind", settings.bind),
+        ("peer_listen", settings.peer_listen),
+        ("endpoints.cloud", settings.endpoints.cloud),
+        ("endpoints.state", settings.endpoints.state),
+        *((f"siblings[{i}].peer_addr", s.peer_addr) for i, s in enumerate(settings.siblings)),
+    ]
+    for field, addr in addrs:
+        try:
+            split_addr(addr)
+        except ValueError as error:
+            raise SettingsError(f"{field}: {error}") from None
+    c = settings.cluster
+    positive = [
+        ("cluster.workers.report_s", c.workers.report_s),
+        ("cluster.workers.lease_s", c.workers.lease_s),
+        ("cluster.workers.cancel_s", c.workers.cancel_s),
+        ("cluster.state.rps", c.state.rps),
+        ("cluster.state.write_rps", c.state.write_rps),
+        ("cluster.state.value_kb", c.state.value_kb),
+        ("cluster.state.txn_ops", float(c.state.txn_ops)),
+        ("cluster.cloud.rps", c.cloud.rps),
+        ("cluster.cloud.list_lag_s", c.cloud.list_lag_s),
+    ]
+    for field, number in positive:
+        if not (math.isfinite(number) and number > 0):
+            raise SettingsError(f"{field}: must be a finite number above 0, got {number}")
+    if c.state.txn_ops < 3:
+        raise SettingsError("cluster.state.txn_ops: at least 3 changes a transaction are needed")
+    names = [team.name for team in c.teams]
+    if len(set(names)) != len(names):
+        raise SettingsError("cluster.teams: a team name appears twice")
+    for i, team in enumerate(c.teams):
+        for field in ("cpus", "cpus_max", "gpus", "gpus_max"):
+            number = getattr(team, field)
+            if not math.isfinite(number) or number < 0:
+                raise SettingsError(f"cluster.teams[{i}].{field}: must be 0 or more, got {number}")
+
+
+def parse(text: str) -> Settings:
+    try:
+        raw = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsError(f"not TOML: {error}") from None
+    try:
+        settings = msgspec.convert(raw, Settings, strict=True)
+    except msgspec.ValidationError as error:
+        raise SettingsError(str(error)) from None
+    _check(settings)
+    return settings
+
+
+def load(path: str | Path) -> Settings:
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path}: cannot be read: {error}") from None
+    try:
+        return parse(text)
+    except SettingsError as error:
+        raise SettingsError(f"{path}: {error}") from None
--- /dev/null
+++ b/petrelthread/store/__init__.py
@@ -0,0 +1,24 @@
+"""The state service: a client that keeps to its budgets, and a mirror of our keys."""
+
+from petrelthread.store.client import (
+    Budget,
+    Conflict,
+    NoSuchLease,
+    Request,
+    StateClient,
+    StateDown,
+    StateUnsure,
+)
+from petrelthread.store.mirror import ROOT, Mirror
+
+__all__ = [
+    "ROOT",
+    "Budget",
+    "Conflict",
+    "Mirror",
+    "NoSuchLease",
+    "Request",
+    "StateClient",
+    "StateDown",
+    "StateUnsure",
+]
--- /dev/null
+++ b/petrelthread/store/client.py
@@ -0,0 +1,149 @@
+"""Calls to the state service. A lost answer is told apart from a refusal, always."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+from urllib.parse import quote
+
+import msgspec
+
+from petrelthread import wire
+from petrelthread.http import NoAnswer, Reply
+
+Request = Callable[..., Awaitable[Reply]]
+T = TypeVar("T")
+
+
+class StateDown(Exception):
+    """The request was surely not carried out: 503, 429, or it never left."""
+
+
+class StateUnsure(Exception):
+    """The request may have been carried out, or may still be."""
+
+
+class Conflict(Exception):
+    """A condition did not hold; nothing was applied."""
+
+    def __init__(self, failed: tuple[str, ...]) -> None:
+        super().__init__(f"conditions failed: {', '.join(failed)}")
+        self.failed = failed
+
+
+class NoSuchLease(Exception):
+    """The lease is over."""
+
+
+class Budget:
+    """A token bucket. All controllers together must stay below the service's limits."""
+
+    def __init__(self, rate: float, burst: float) -> None:
+        self.rate = rate
+        self.burst = max(burst, 1.0)
+        self._level = self.burst
+        self._at: float | None = None
+
+    def _refill(self, now: float) -> None:
+        if self._at is not None:
+            self._level = min(self.burst, self._level + (now - self._at) * self.rate)
+        self._at = now
+
+    async def take(self, amount: float = 1.0) -> None:
+        """Wait until there is room; large amounts go into debt rather than never pass."""
+        loop = asyncio.get_running_loop()
+        self._refill(loop.time())
+        self._level -= amount
+        if self._level < 0:
+            await asyncio.sleep(-self._level / self.rate)
+
+    def wait_s(self, now: float) -> float:
+        """How long a request made now would have to wait."""
+        self._refill(now)
+        return max(0.0, (1.0 - self._level) / self.rate)
+
+
+def _decode(body: bytes, kind: type[T]) -> T:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        # A garbled answer proves nothing about what was done.
+        raise StateUnsure(f"garbled answer: {error}") from None
+
+
+class StateClient:
+    def __init__(self, request: Request, addr: str, reads: Budget, writes: Budget) -> None:
+        self._request = request
+        self._addr = addr
+        self.reads = reads
+        self.writes = writes
+
+    async def _call(
+        self, method: str, target: str, body: Any = None, timeout: float = 1.0, urgent: bool = False
+    ) -> Reply:
+        if not urgent:
+            await self.reads.take()
+        try:
+            reply = await self._request(self._addr, method, target, body, timeout=timeout)
+        except NoAnswer as error:
+            if error.sent:
+                raise StateUnsure(str(error)) from None
+            raise StateDown(str(error)) from None
+        if reply.status in (429, 503):
+            raise StateDown(f"status {reply.status}")
+        return reply
+
+    async def page(self, prefix: str, after: str | None) -> wire.Page:
+        target = f"/keys?prefix={quote(prefix)}&limit=1000"
+        if after is not None:
+            target += f"&from={quote(after)}"
+        reply = await self._call("GET", target, timeout=3.0)
+        if reply.status != 200:
+            raise StateUnsure(f"status {reply.status}")
+        return _decode(reply.body, wire.Page)
+
+    async def changes(
+        self, prefix: str, after: int, wait_s: float, urgent: bool = False
+    ) -> wire.Events | None:
+        """What changed after a revision; None when the service no longer knows."""
+        target = f"/watch?prefix={quote(prefix)}&from={after}&wait_ms={int(wait_s * 1000)}"
+        reply = await self._call("GET", target, timeout=wait_s + 1.0, urgent=urgent)
+        if reply.status == 410:
+            return None
+        if reply.status != 200:
+            raise StateUnsure(f"status {reply.status}")
+        return _decode(reply.body, wire.Events)
+
+    async def multi(
+        self, conditions: list[dict[str, Any]], ops: list[dict[str, Any]], timeout: float = 1.0
+    ) -> int:
+        if ops:
+            await self.writes.take(len(ops))
+        reply = await self._call("POST", "/multi", wire.multi(conditions, ops), timeout)
+        if reply.status == 200:
+            return _decode(reply.body, wire.MultiDone).epoch
+        if reply.status == 409:
+            raise Conflict(_decode(reply.body, wire.MultiFailed).failed)
+        if reply.status == 400 and b"lease" in reply.body:
+            raise NoSuchLease
+        if reply.status == 400:
+            raise StateDown(f"malformed: {reply.body[:200]!r}")
+        raise StateUnsure(f"status {reply.status}")
+
+    async def grant(self, life_s: float) -> int:
+        reply = await self._call("POST", "/grants", {"life_ms": int(life_s * 1000)})
+        if reply.status != 200:
+            raise StateUnsure(f"status {reply.status}")
+        return _decode(reply.body, wire.Granted).tether
+
+    async def extend(self, lease: int, timeout: float) -> None:
+        target = f"/grants/{lease}/extend"
+        reply = await self._call("POST", target, {}, timeout=timeout, urgent=True)
+        if reply.status == 404:
+            raise NoSuchLease
+        if reply.status != 200:
+            raise StateUnsure(f"status {reply.status}")
+
+    async def revoke(self, lease: int) -> None:
+        await self._call("DELETE", f"/grants/{lease}")
--- /dev/null
+++ b/petrelthread/store/mirror.py
@@ -0,0 +1,122 @@
+"""A copy of our keys, followed by an open watch and made fresh on demand."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from petrelthread import wire
+from petrelthread.store.client import StateClient, StateDown, StateUnsure
+
+log = logging.getLogger(__name__)
+
+ROOT = "pt/"
+WATCH_S = 10.0
+
+Listener = Callable[[str, Any, int], None]
+
+
+class Mirror:
+    """Values by key (below ROOT). Every change is told once, in order, to the listener."""
+
+    def __init__(self, client: StateClient, listener: Listener, gap_s: float) -> None:
+        self._client = client
+        self._listener = listener
+        self.gap_s = gap_s
+        self.stamps: dict[str, int] = {}
+        self.revision = 0
+        self.loaded = asyncio.Event()
+        self.last_ok = float("-inf")
+        self._round: asyncio.Task[bool] | None = None
+        self._next_round: asyncio.Task[bool] | None = None
+        self._reload: asyncio.Task[None] | None = None
+
+    async def load(self) -> None:
+        """Read all keys. Changes during the reading come again by the watch from its start."""
+        found: dict[str, tuple[Any, int]] = {}
+        first: int | None = None
+        after: str | None = None
+        while True:
+            page = await self._client.page(ROOT, after)
+            first = page.epoch if first is None else first
+            for pair in page.pairs:
+                found[pair.path[len(ROOT) :]] = (pair.v, pair.stamp)
+            if not page.more or not page.pairs:
+                break
+            after = page.pairs[-1].path
+        for key in [key for key in self.stamps if key not in found]:
+            self._tell(key, None, first)
+        for key, (value, stamp) in sorted(found.items(), key=lambda item: item[1][1]):
+            if self.stamps.get(key) != stamp:
+                self._tell(key, value, stamp)
+        self.revision = first
+        self.last_ok = asyncio.get_running_loop().time()
+        self.loaded.set()
+
+    def _tell(self, key: str, value: Any, stamp: int) -> None:
+        if value is None:
+            self.stamps.pop(key, None)
+        else:
+            self.stamps[key] = stamp
+        self._listener(key, value, stamp)
+
+    def _apply(self, events: wire.Events) -> None:
+        # Two watches may be open at once: each answer covers all up to its epoch, so whatever
+        # lies at or below the revision reached has been told already.
+        for event in events.log:
+            if event.stamp <= self.revision:
+                continue
+            if event.put is not None:
+                self._tell(event.put[len(ROOT) :], event.v, event.stamp)
+            elif event.drop is not None:
+                self._tell(event.drop[len(ROOT) :], None, event.stamp)
+        self.revision = max(self.revision, events.epoch)
+
+    async def _catch_up(self, wait_s: float, urgent: bool = False) -> None:
+        start = asyncio.get_running_loop().time()
+        events = await self._client.changes(ROOT, self.revision, wait_s, urgent)
+        if events is None:
+            log.info("state: watch too old, reading all keys again")
+            await self.load()
+            return
+        self._apply(events)
+        self.last_ok = max(self.last_ok, start)
+
+    async def follow(self) -> None:
+        """Keep the mirror near the service for as long as the process lives."""
+        while True:
+            try:
+                if not self.loaded.is_set():
+                    await self.load()
+                else:
+                    await self._catch_up(WATCH_S)
+                await asyncio.sleep(self.gap_s)
+            except (StateDown, StateUnsure) as error:
+                log.debug("state: watch failed: %s", error)
+                await asyncio.sleep(0.3)
+
+    async def fresh(self) -> bool:
+        """True once the mirror holds all that was there when this was called.
+
+        Callers share rounds: a round serves only those who asked before it began, so one may be
+        running while the next one gathers callers.
+        """
+        if self._next_round is None:
+            self._next_round = asyncio.create_task(self._fresh_round(self._round))
+        return await asyncio.shield(self._next_round)
+
+    async def _fresh_round(self, before: asyncio.Task[bool] | None) -> bool:
+        if before is not None and not before.done():
+            await asyncio.wait([before])
+        await self._client.reads.take()
+        self._round, self._next_round = self._next_round, None
+        if not self.loaded.is_set():
+            return False
+        try:
+            await self._catch_up(0.0, urgent=True)
+        except (StateDown, StateUnsure) as error:
+            log.debug("state: fresh read failed: %s", error)
+            return False
+        return True
