--- a/petrelthread/placement/test_place.py
+++ b/petrelthread/placement/test_place.py
@@ -69,7 +69,7 @@
                 most = min(want.pending, int(team.cores / want.cores + 1e-6))
                 if want.accelerators:
                     most = min(most, int(team.accelerators / want.accelerators + 1e-6))
-                room = {}
+                room: dict[int, int] = {}
                 for s in slots:
                     if s.allowed(want) and s.fits(want):
                         room[s.zone] = room.get(s.zone, 0) + int(s.cores / want.cores + 1e-6)
