--- a/petrelthread/fleet/machine.py
+++ b/petrelthread/fleet/machine.py
@@ -44,6 +44,7 @@
         "notice_at",
         "notice_s",
         "rented_at",
+        "retiring",
         "seen_token",
         "sending",
         "session",
@@ -82,6 +83,7 @@
         self.errors_of: set[int] = set()  # jobs whose tasks failed here since a task last completed
         self.errors = 0  # and how many failures that were
         self.fault = ""
+        self.retiring = False  # surplus: gets nothing new as long as that lasts
 
     def move(self, to: Health) -> None:
         """The one place where a machine's health changes."""
--- a/petrelthread/placement/rounds.py
+++ b/petrelthread/placement/rounds.py
@@ -91,8 +91,10 @@
 
     # ---- views ------------------------------------------------------------------------------
 
-    def slots(self) -> dict[int, Slot]:
+    def slots(self) -> tuple[dict[int, Slot], list[Slot]]:
+        """What is free, by machine; and on surplus spot machines, for what fits nowhere else."""
         out: dict[int, Slot] = {}
+        surplus: list[Slot] = []
         hulls = self._hulls()
         for machine in self._fleet.machines.values():
             hull = hulls.get(machine.type)
@@ -115,8 +117,11 @@
                     slot.accelerators -= job.accelerators
                     slot.ram_gb -= job.ram_gb
                     slot.images.add(job.image)
-            out[machine.index] = slot
-        return out
+            if not machine.retiring:
+                out[machine.index] = slot
+            elif machine.spot:
+                surplus.append(slot)
+        return out, surplus
 
     def team_use(self) -> list[tuple[float, float]]:
         """What each team's tasks use or may be using, wherever they are."""
@@ -191,7 +196,7 @@
                 guaranteed[index] = inside
         if not wants:
             return []
-        slots = self.slots()
+        slots, surplus = self.slots()
         use = self.team_use()
         teams = [
             TeamRoom(team.cpus_max - use[i][0], team.gpus_max - use[i][1])
@@ -203,6 +208,18 @@
         self._cursor = done.next_start
         if done.next_start:
             self.wake.set()
+        elif surplus:
+            placed_so_far: dict[int, int] = {}
+            for job_index, _ in done.placed:
+                placed_so_far[job_index] = placed_so_far.get(job_index, 0) + 1
+            rest = [
+                want._replace(pending=want.pending - placed_so_far.get(want.job, 0))
+                for want in wants
+                if want.pending > placed_so_far.get(want.job, 0)
+                and not want.same_place
+                and not want.scatter
+            ]
+            done.placed.extend(place(rest, surplus, teams).placed)
         placements: list[Placement] = []
         tasks: dict[int, Any] = {}
         placed: dict[int, int] = {}
--- a/petrelthread/rental/keeper.py
+++ b/petrelthread/rental/keeper.py
@@ -138,6 +138,8 @@
             return
         plan = self._plan(now)
         self.last_plan = plan
+        for machine in self._fleet.machines.values():
+            machine.retiring = machine.index in plan.retiring
         await self._return(self._to_return(plan, now), now)
         calls = [self._rent(rent, now) for rent in plan.rents]
         if calls:
@@ -267,7 +269,7 @@
                     hull.ram_gb,
                     hull.low_price if machine.spot else hull.hourly,
                     now - machine.idle_since if idle else None,
-                    machine.health is Health.UP,
+                    len(self._fleet.attempts(machine)),
                 )
             )
         offers = []
--- a/petrelthread/rental/plan.py
+++ b/petrelthread/rental/plan.py
@@ -20,7 +20,8 @@
 
     spot_drain_s: float = 30.0  # spot machines are added until the backlog drains in this time
     dear_drain_s: float = 90.0  # ordinary ones only until it drains in this time
-    idle_s: float = 20.0  # an idle machine goes back after this, unless it is in reserve
+    idle_s: float = 20.0  # a surplus spot machine goes back after idling this long
+    dear_idle_s: float = 2.0  # and an ordinary one after this
     reserve_share: float = 0.5  # of the cores asked for lately by jobs that must start quickly
 
 
@@ -58,7 +59,7 @@
     ram_gb: float
     price: float
     idle_s: float | None  # None while it works or boots
-    up: bool
+    tasks: int
 
 
 class Rent(NamedTuple):
@@ -71,6 +72,7 @@
 class Plan(NamedTuple):
     rents: list[Rent]
     returns: list[int]
+    retiring: set[int]  # surplus: they finish what they have and get nothing new
     wanted_cores: float
     owned_cores: float
 
@@ -132,7 +134,7 @@
 ) -> Plan:
     """``offers``: those not refused lately. ``calls``: rental calls that may be made now."""
     rents: list[Rent] = []
-    busy_target = 0.0
+    keep_cheap, keep_dear = reserve_cores, 0.0
     left = list(owned)
     for group in _groups(demands):
         could_use = sum(d.tasks * d.cores for d in group)
@@ -152,7 +154,8 @@
             if fits:
                 have += fits * shape.cores
                 left.remove(machine)
-        busy_target += max(cheap_target, dear_target)
+        keep_cheap += could_use
+        keep_dear += dear_target if group[0].spot else could_use
         priced = []
         for offer in offers:
             fits = _fits(shape, offer)
@@ -175,27 +178,28 @@
             count = min(count, RENT_MOST)
             rents.append(Rent(offer.type, offer.zone, offer.spot, count))
             have += count * cores
-    return Plan(
-        rents,
-        _returns(owned, busy_target, reserve_cores, options),
-        busy_target,
-        sum(o.cores for o in owned),
-    )
-
-
-def _returns(
-    owned: list[Owned], target: float, reserve_cores: float, options: Options
-) -> list[int]:
-    """Idle machines beyond target and reserve, the dearest core first."""
-    have = sum(o.cores for o in owned)
-    out: list[int] = []
-    idle = [o for o in owned if o.idle_s is not None]
-    for machine in sorted(idle, key=lambda o: (-o.price / max(o.cores, 1e-9), -(o.idle_s or 0))):
-        patience = options.idle_s if machine.spot else options.idle_s / 2
-        if (machine.idle_s or 0.0) < patience:
-            continue
-        if have - machine.cores < max(target, reserve_cores) - 1e-6:
+    returns, retiring = _surplus(owned, keep_cheap, keep_dear, options)
+    return Plan(rents, returns, retiring, keep_cheap, sum(o.cores for o in owned))
+
+
+def _surplus(
+    owned: list[Owned], keep_cheap: float, keep_dear: float, options: Options
+) -> tuple[list[int], set[int]]:
+    """What is beyond the need, the dearest core first: idle ones to return, busy ones to retire.
+
+    Dear capacity is kept only while the backlog is too long for what is cheaper than it.
+    """
+    returns: list[int] = []
+    retiring: set[int] = set()
+    have = 0.0
+    for machine in sorted(
+        owned, key=lambda o: (o.price / max(o.cores, 1e-9), -o.tasks, o.idle_s or 0.0, o.machine)
+    ):
+        if have < (keep_cheap if machine.spot else keep_dear) - 1e-6:
+            have += machine.cores
             continue
-        have -= machine.cores
-        out.append(machine.machine)
-    return out
+        retiring.add(machine.machine)
+        patience = options.idle_s if machine.spot else options.dear_idle_s
+        if machine.idle_s is not None and machine.idle_s >= patience:
+            returns.append(machine.machine)
+    return returns, retiring
