--- a/petrelthread/cli/main.py
+++ b/petrelthread/cli/main.py
@@ -26,6 +26,7 @@
     check = commands.add_parser("check", help="check a settings file and exit")
     check.add_argument("file", metavar="FILE", help="settings file (TOML)")
     commands.add_parser("version", help="print the version")
+    commands.add_parser("warm", help="load the whole daemon once, so that it lies compiled")
     return top
 
 
@@ -34,6 +35,10 @@
     args = top.parse_args(argv)
     if args.command == "version":
         print(f"petrelthread {__version__}")
+        return 0
+    if args.command == "warm":
+        import petrelthread.cli.serve  # noqa: F401
+
         return 0
     if args.command == "check":
         return _check(args.file)
--- a/petrelthread/controller.py
+++ b/petrelthread/controller.py
@@ -188,7 +188,7 @@
 
     def _ready(self) -> Response:
         now = asyncio.get_running_loop().time()
-        if not self.mirror.loaded.is_set() or not self.keeper.hulls:
+        if not self.mirror.loaded.is_set():
             return refusal(503, "still starting", 1)
         # Refused by the state service alone, others serve better. If it is down for all, to leave
         # would only add the way back to the outage.
