Order by the latest start of the first objective still in reach

Cause: long team-limited jobs began late (deadline order ignores their waves), so they set the makespan. With the first objective still in reach, jobs late by waiting come last.

--- a/petrelthread/placement/order.py
+++ b/petrelthread/placement/order.py
@@ -13,7 +13,7 @@
     rank: int
     accepted_at: float
     due_at: float  # its own deadline, or the one its class's objective gives it; inf: none
-    finish_s: float  # how long it would still take at best
+    finish_s: float  # how long it would still take if its team's limit alone held it back
     cores_left: float  # of all its unfinished tasks
     accelerators_left: float
 
@@ -36,22 +36,19 @@
     return inside
 
 
-def order(
-    jobs: list[Standing], guarantees: list[tuple[float, float]], now: float
-) -> list[tuple[int, bool]]:
+def order(jobs: list[Standing], guarantees: list[tuple[float, float]]) -> list[tuple[int, bool]]:
     """Job indices in the order in which they are served, each with whether it is guaranteed.
 
-    Within a rank, jobs that can no longer be in time give way to those that can.
+    Deadlines are compared by the latest moment to begin: a long job that its team's limit will
+    stretch over many waves has to start well before a short one due at the same time.
     """
     inside = within_guarantee(jobs, guarantees)
 
-    def key(standing: Standing) -> tuple[bool, int, bool, float, float, int]:
-        late = now + standing.finish_s > standing.due_at
+    def key(standing: Standing) -> tuple[bool, int, float, float, int]:
         return (
             not inside[standing.job],
             -standing.rank,
-            late,
-            standing.accepted_at if late else standing.due_at,
+            standing.due_at - standing.finish_s,
             standing.accepted_at,
             standing.job,
         )
--- a/petrelthread/placement/rounds.py
+++ b/petrelthread/placement/rounds.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import time
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -19,6 +20,8 @@
 
 log = logging.getLogger(__name__)
 
+LATE_S = 1e6  # what is late anyway comes after all that is not
+
 Placement = tuple[Job, int, Machine]  # job, task, machine
 
 
@@ -65,12 +68,14 @@
         self._ops_most = state.txn_ops
         self.teams = settings.cluster.teams
         self._guarantees = [(t.cpus, t.gpus) for t in self.teams]
-        self._objectives: dict[int, float] = {}
+        self._within: dict[int, list[float]] = {}  # by class: seconds to be done in
+        self._times: dict[int, list[float]] = {}  # by class: multiples of the deadline
         for objective in settings.cluster.objectives:
+            index = book.names.classes.index(objective.jobclass)
             if objective.kind == "finished" and objective.within_s > 0:
-                index = book.names.classes.index(objective.jobclass)
-                best = self._objectives.get(index, objective.within_s)
-                self._objectives[index] = min(best, objective.within_s)
+                self._within.setdefault(index, []).append(objective.within_s)
+            elif objective.kind == "deadline":
+                self._times.setdefault(index, []).append(objective.times)
         self._number = 0
         self._cursor = 0
         self.dead_keys: list[str] = []  # records that are settled, to be dropped
@@ -134,24 +139,53 @@
                     use[job.team] = (cores + job.cores, accelerators + job.accelerators)
         return use
 
-    def due_at(self, job: Job) -> float:
+    def due_at(self, job: Job, path_s: float, now: float) -> float:
+        """The first of the job's objectives that it can still reach.
+
+        A job too long for any of them is due as early as it can be; one that has become late by
+        waiting gives way to all that can still be in time.
+        """
         if job.due_s is not None:
-            return job.accepted_at + float(job.due_s)
-        within = self._objectives.get(job.jobclass)
-        return job.accepted_at + within if within is not None else float("inf")
+            goals = [job.due_s * times for times in self._times.get(job.jobclass, [1.0])]
+        else:
+            goals = self._within.get(job.jobclass, [])
+        if not goals:
+            return job.accepted_at + 2 * LATE_S
+        for goal in sorted(goals):
+            if now + path_s <= job.accepted_at + goal:
+                return job.accepted_at + goal
+        whole_s = self._waves(job, job.tasks) * self.estimates.run_s(job)
+        if whole_s > max(goals):
+            return job.accepted_at + whole_s
+        return job.accepted_at + LATE_S
+
+    def _waves(self, job: Job, tasks: int) -> int:
+        team = self.teams[job.team]
+        most = float(job.tasks)
+        if job.cores > 0:
+            most = min(most, team.cpus_max // job.cores)
+        if job.accelerators > 0:
+            most = min(most, team.gpus_max // job.accelerators)
+        return math.ceil(tasks / max(1.0, most))
+
+    def path_s(self, job: Job) -> float:
+        """How long the job still takes at best: its team's limit makes it run in waves."""
+        return self._waves(job, job.tasks - job.done) * self.estimates.run_s(job)
 
     def standings(self) -> list[Standing]:
         out = []
+        now = time.time()
         for job in self._book.open.values():
             left = job.tasks - job.done
+            path_s = self.path_s(job)
             out.append(
                 Standing(
                     job.index,
                     job.team,
                     job.rank,
                     job.accepted_at,
-                    self.due_at(job),
-                    self.estimates.run_s(job),
+                    self.due_at(job, path_s, now),
+                    path_s,
                     left * job.cores,
                     left * job.accelerators,
                 )
@@ -186,7 +220,7 @@
     # ---- one round --------------------------------------------------------------------------
 
     def decide(self, now: float) -> list[Placement]:
-        ordered = order(self.standings(), self._guarantees, time.time())
+        ordered = order(self.standings(), self._guarantees)
         wants: list[Want] = []
         guaranteed: dict[int, bool] = {}
         for index, inside in ordered:
