--- a/petrelthread/rental/keeper.py
+++ b/petrelthread/rental/keeper.py
@@ -216,6 +216,7 @@
     def _demands(self, now: float) -> list[Demand]:
         left = [[team.cpus_max, team.gpus_max] for team in self._rounds.teams]
         out = []
+        wall = time.time()
         for job in sorted(self._book.open.values(), key=lambda j: j.accepted_at):
             unfinished = job.tasks - job.done - len(self._fleet.finished.get(job.index, ()))
             if unfinished <= 0 or now < job.not_before:
@@ -238,6 +239,7 @@
                 Demand(
                     tasks,
                     max(work_s, 0.0),
+                    self._rounds.due_at(job, self._rounds.path_s(job), wall) - wall,
                     job.cores,
                     job.accelerators,
                     job.ram_gb,
--- a/petrelthread/rental/plan.py
+++ b/petrelthread/rental/plan.py
@@ -19,7 +19,9 @@
     """What operators may change; the defaults are what the measured rounds showed to serve best."""
 
     spot_drain_s: float = 30.0  # spot machines are added until the backlog drains in this time
-    dear_drain_s: float = 90.0  # ordinary ones only until it drains in this time
+    dear_drain_s: float = 150.0  # ordinary ones only until it drains in this time, or in time
+    due_share: float = 0.7  # of the time left until jobs are due that their work may take
+    due_least_s: float = 45.0  # work due sooner than this is planned as if due then
     idle_s: float = 20.0  # a surplus spot machine goes back after idling this long
     dear_idle_s: float = 2.0  # and an ordinary one after this
     reserve_share: float = 0.5  # of the cores asked for lately by jobs that must start quickly
@@ -41,6 +43,7 @@
 
     tasks: int  # that could run now, running ones included
     work_s: float  # run time left in all its unfinished tasks
+    due_s: float  # from now
     cores: float
     accelerators: float
     ram_gb: float
@@ -124,6 +127,16 @@
     return list(groups.values())
 
 
+def _cores_in_time(group: list[Demand], options: Options) -> float:
+    """Cores that finish each job's work, and all that is due before it, in time."""
+    need = work = 0.0
+    for demand in sorted(group, key=lambda d: d.due_s):
+        work += demand.work_s * demand.cores
+        left_s = max(options.due_least_s, demand.due_s * options.due_share)
+        need = max(need, work / min(left_s, options.dear_drain_s))
+    return need
+
+
 def plan(
     demands: list[Demand],
     owned: list[Owned],
@@ -140,7 +153,7 @@
         could_use = sum(d.tasks * d.cores for d in group)
         work = sum(d.work_s * d.cores for d in group)
         cheap_target = min(could_use, work / options.spot_drain_s)
-        dear_target = min(could_use, work / options.dear_drain_s)
+        dear_target = min(could_use, _cores_in_time(group, options))
         # Even a single long task wants its core.
         biggest = max(d.cores for d in group)
         cheap_target = max(cheap_target, min(could_use, biggest))
