--- a/petrelthread/rental/plan.py
+++ b/petrelthread/rental/plan.py
@@ -19,9 +19,9 @@
     """What operators may change; the defaults are what the measured rounds showed to serve best."""
 
     spot_drain_s: float = 30.0  # spot machines are added until the backlog drains in this time
-    dear_drain_s: float = 150.0  # ordinary ones only until it drains in this time, or in time
-    due_share: float = 0.7  # of the time left until jobs are due that their work may take
-    due_least_s: float = 45.0  # work due sooner than this is planned as if due then
+    dear_drain_s: float = 40.0  # ordinary ones only until it drains in this time, or in time
+    due_share: float = 0.5  # of the time left until jobs are due that their work may take
+    due_least_s: float = 30.0  # work due sooner than this is planned as if due then
     idle_s: float = 20.0  # a surplus spot machine goes back after idling this long
     dear_idle_s: float = 2.0  # and an ordinary one after this
     reserve_share: float = 0.5  # of the cores asked for lately by jobs that must start quickly
