--- a/petrelthread/rental/plan.py
+++ b/petrelthread/rental/plan.py
@@ -19,9 +19,10 @@
     """What operators may change; the defaults are what the measured rounds showed to serve best."""
 
     spot_drain_s: float = 30.0  # spot machines are added until the backlog drains in this time
-    dear_drain_s: float = 40.0  # ordinary ones only until it drains in this time, or in time
-    due_share: float = 0.5  # of the time left until jobs are due that their work may take
-    due_least_s: float = 30.0  # work due sooner than this is planned as if due then
+    dear_drain_s: float = 120.0  # ordinary ones only until it drains in this time, or in time
+    due_share: float = 0.7  # of the time left until jobs are due that their work may take
+    due_least_s: float = 45.0  # work due sooner than this is planned as if due then
+    keep_share: float = 0.35  # of those times: dear machines that are up stay until this suffices
     idle_s: float = 20.0  # a surplus spot machine goes back after idling this long
     dear_idle_s: float = 2.0  # and an ordinary one after this
     reserve_share: float = 0.5  # of the cores asked for lately by jobs that must start quickly
@@ -127,13 +128,13 @@
     return list(groups.values())
 
 
-def _cores_in_time(group: list[Demand], options: Options) -> float:
-    """Cores that finish each job's work, and all that is due before it, in time."""
+def _cores_in_time(group: list[Demand], options: Options, share: float = 1.0) -> float:
+    """Cores that finish each job's work, and all that is due before it, in a share of the time."""
     need = work = 0.0
     for demand in sorted(group, key=lambda d: d.due_s):
         work += demand.work_s * demand.cores
         left_s = max(options.due_least_s, demand.due_s * options.due_share)
-        need = max(need, work / min(left_s, options.dear_drain_s))
+        need = max(need, work / (min(left_s, options.dear_drain_s) * share))
     return need
 
 
@@ -168,7 +169,8 @@
                 have += fits * shape.cores
                 left.remove(machine)
         keep_cheap += could_use
-        keep_dear += dear_target if group[0].spot else could_use
+        keep = min(could_use, _cores_in_time(group, options, options.keep_share))
+        keep_dear += max(keep, dear_target) if group[0].spot else could_use
         priced = []
         for offer in offers:
             fits = _fits(shape, offer)
