--- a/petrelthread/placement/rounds.py
+++ b/petrelthread/placement/rounds.py
@@ -417,6 +417,19 @@
             launched += book.apply_round(number, record, Op.DISPATCHING)
         for attempt in launched:
             attempt.at = now
+            if log.isEnabledFor(logging.DEBUG):
+                machine = self._fleet.machines[attempt.machine]
+                cached = attempt.job.image in machine.images
+                waited = time.time() - attempt.job.accepted_at
+                log.debug(
+                    "start %s/%d (%s) on %s after %.2f s, image %s",
+                    attempt.job.id,
+                    attempt.task,
+                    self._book.names.classes.name(attempt.job.jobclass),
+                    machine.name,
+                    waited,
+                    "there" if cached else "to fetch",
+                )
         self._dispatch.launch(launched)
         return more or bool(self._fleet.finished)
 
--- a/petrelthread/rental/keeper.py
+++ b/petrelthread/rental/keeper.py
@@ -376,15 +376,35 @@
                 if machine.health is not Health.RETURNING:
                     machine.move(Health.RETURNING)
                 machine.move(Health.GONE)
-        self._drop(op)
-        self._drop_empty_rentals()
+        await self._strike_out(op, set(names))
 
-    def _drop_empty_rentals(self) -> None:
-        for op in list(self.ops.values()):
-            if op.state is Op.CONFIRMED and op.key.startswith("c/"):
-                machines = [self._fleet.known(name) for name in op.value["m"]]
-                if all(m is None or m.health is Health.GONE for m in machines):
-                    self._drop(op)
+    async def _strike_out(self, op: CloudOp, names: set[str]) -> None:
+        """Take returned machines out of their rentals' records, along with the return's own.
+
+        Otherwise the next leader would count them as capacity that is about to boot.
+        """
+        ops = [wire.drop(ROOT + op.key)]
+        for rental in list(self.ops.values()):
+            if rental.state is not Op.CONFIRMED or not rental.key.startswith("c/"):
+                continue
+            left = [name for name in rental.value["m"] if name not in names]
+            if len(left) == len(rental.value["m"]):
+                continue
+            rental.value = {**rental.value, "m": left}
+            if left:
+                self._book.rentals[rental.key[2:]] = rental.value
+                ops.append(wire.put(ROOT + rental.key, rental.value))
+            else:
+                self.ops.pop(rental.key)
+                self._book.rentals.pop(rental.key[2:], None)
+                ops.append(wire.drop(ROOT + rental.key))
+        self.ops.pop(op.key, None)
+        self._book.returns.pop(op.key[2:], None)
+        most = self._settings.cluster.state.txn_ops
+        # The return goes last: until then a new leader asks once more, and learns the same.
+        ops.append(ops.pop(0))
+        for at in range(0, len(ops), most):
+            await self._claims.claim(ops[at : at + most])
 
     # ---- rent ---------------------------------------------------------------------------------
 
