--- a/petrelthread/controller.py
+++ b/petrelthread/controller.py
@@ -28,6 +28,7 @@
 
 STATE_SHARE = 0.9  # of the service's limits, over all controllers
 LEADER_WRITES = 0.6
+CLEAN_UP_KEEPS = 0.5  # of the write burst that dropping settled records leaves untouched
 ABSTAIN_S = 15.0
 READY_S = 3.0
 
@@ -69,6 +70,7 @@
             lambda: self.keeper.hulls,
             estimates,
             self.mirror.fresh,
+            lambda now: self._writes.spare(now, CLEAN_UP_KEEPS),
         )
         cloud_rate = cluster.cloud.rps * 0.85
         cloud = CloudClient(request, settings.endpoints.cloud, Budget(cloud_rate, cloud_rate))
--- a/petrelthread/placement/rounds.py
+++ b/petrelthread/placement/rounds.py
@@ -69,6 +69,7 @@
         hulls: Callable[[], dict[int, wire.Hull]],
         estimates: Estimates,
         refresh: Callable[[], Awaitable[bool]],
+        spare_writes: Callable[[float], int],
     ) -> None:
         self._book = book
         self._fleet = fleet
@@ -77,6 +78,7 @@
         self._hulls = hulls
         self.estimates = estimates
         self._refresh = refresh
+        self._spare_writes = spare_writes
         state = settings.cluster.state
         self._value_most = int(state.value_kb * 1024 * 0.85)
         self._ops_most = state.txn_ops
@@ -412,11 +414,12 @@
             ops.append(wire.put(f"{ROOT}r/{number}", record))
             marker = marker or f"r/{number}"
         more = len(rounds) < len(records)
-        # Settled records go when there is room, and never cause a write of their own too often.
+        # Settled records go only when the write rate has room to spare: a round that waits for its
+        # turn behind a clean-up keeps tasks waiting.
         dead = [f"r/{n}" for n in book.dead_rounds()] + [f"d/{n}" for n in book.dead_done_records()]
         dead += self.dead_keys
-        room = self._ops_most - len(ops)
-        dropping = dead[: max(0, room)] if ops or len(dead) >= self._ops_most else []
+        room = min(self._ops_most - len(ops), self._spare_writes(now) - len(ops))
+        dropping = dead[: max(0, room)]
         ops += [wire.drop(ROOT + key) for key in dropping]
         if not ops:
             return False
--- a/petrelthread/store/client.py
+++ b/petrelthread/store/client.py
@@ -58,6 +58,11 @@
         if self._level < 0:
             await asyncio.sleep(-self._level / self.rate)
 
+    def spare(self, now: float, keep_share: float) -> int:
+        """How much may be taken now and still leave a share of the burst for what is urgent."""
+        self._refill(now)
+        return max(0, int(self._level - self.burst * keep_share))
+
     def wait_s(self, now: float) -> float:
         """How long a request made now would have to wait."""
         self._refill(now)
