--- a/petrelthread/placement/order.py
+++ b/petrelthread/placement/order.py
@@ -4,6 +4,8 @@
 
 from typing import NamedTuple
 
+LATE_S = 1e6  # what is late anyway comes after all that is not
+
 
 class Standing(NamedTuple):
     """What the order looks at in an unfinished job."""
@@ -12,12 +14,18 @@
     team: int
     rank: int
     accepted_at: float
-    due_at: float  # its own deadline, or the one its class's objective gives it; inf: none
-    finish_s: float  # how long it would still take if its team's limit alone held it back
+    goals: tuple[float, ...]  # when it should be done: the sooner, then what still counts after it
+    path_s: float  # how long it would still take if its team's limit alone held it back
     cores_left: float  # of all its unfinished tasks
     accelerators_left: float
 
 
+class Turn(NamedTuple):
+    job: int
+    guaranteed: bool
+    due_at: float  # the goal it is meant to reach
+
+
 def within_guarantee(
     jobs: list[Standing], guarantees: list[tuple[float, float]]
 ) -> dict[int, bool]:
@@ -36,21 +44,66 @@
     return inside
 
 
-def order(jobs: list[Standing], guarantees: list[tuple[float, float]]) -> list[tuple[int, bool]]:
-    """Job indices in the order in which they are served, each with whether it is guaranteed.
+def reachable(jobs: list[Standing], begin: float) -> tuple[dict[int, tuple[float, float]], float]:
+    """Which of its goals each job of one team and rank is meant to reach: (due, slack).
+
+    The team's limit makes its jobs take turns, so most of them are in time if the longest gives way
+    whenever a goal cannot be kept (Moore's rule); what gives way is tried for its next goal. Also
+    returns when the last of them would end.
+    """
+    out: dict[int, tuple[float, float]] = {}
+    left = list(jobs)
+    for level in range(max((len(s.goals) for s in jobs), default=0)):
+        kept: list[Standing] = []
+        end = begin
+        for standing in sorted(
+            (s for s in left if len(s.goals) > level), key=lambda s: (s.goals[level], s.job)
+        ):
+            kept.append(standing)
+            end += standing.path_s
+            if end > standing.goals[level]:
+                longest = max(kept, key=lambda s: (s.path_s, s.job))
+                kept.remove(longest)
+                end -= longest.path_s
+        for standing in kept:
+            begin += standing.path_s
+            out[standing.job] = (standing.goals[level], standing.goals[level] - begin)
+        left = [s for s in left if s.job not in out]
+    for standing in left:
+        begin += standing.path_s
+    return out, begin
+
+
+def order(jobs: list[Standing], guarantees: list[tuple[float, float]], now: float) -> list[Turn]:
+    """Jobs in the order in which they are served.
 
-    Deadlines are compared by the latest moment to begin: a long job that its team's limit will
-    stretch over many waves has to start well before a short one due at the same time.
+    Within a rank, by the slack left until the goal that the job can reach at its team's pace. Jobs
+    that are late anyway come last, those of the team with most left to do first: it ends last.
     """
     inside = within_guarantee(jobs, guarantees)
+    teams: dict[int, list[Standing]] = {}
+    for standing in jobs:
+        teams.setdefault(standing.team, []).append(standing)
+    goals: dict[int, tuple[float, float]] = {}
+    for members in teams.values():
+        end = now
+        late: list[Standing] = []
+        for rank in sorted({s.rank for s in members}, reverse=True):
+            level = [s for s in members if s.rank == rank]
+            reached, end = reachable(level, end)
+            goals.update(reached)
+            late += [s for s in level if s.job not in reached]
+        for standing in late:
+            goals[standing.job] = (now + LATE_S, LATE_S - (end - now))
 
     def key(standing: Standing) -> tuple[bool, int, float, float, int]:
+        slack = goals[standing.job][1]
         return (
             not inside[standing.job],
             -standing.rank,
-            standing.due_at - standing.finish_s,
+            slack,
             standing.accepted_at,
             standing.job,
         )
 
-    return [(standing.job, inside[standing.job]) for standing in sorted(jobs, key=key)]
+    return [Turn(s.job, inside[s.job], goals[s.job][0]) for s in sorted(jobs, key=key)]
--- a/petrelthread/placement/rounds.py
+++ b/petrelthread/placement/rounds.py
@@ -22,7 +22,7 @@
     pack_done,
     pack_round,
 )
-from petrelthread.placement.order import Standing, order
+from petrelthread.placement.order import Standing, Turn, order
 from petrelthread.placement.place import Slot, TeamRoom, Want, place
 from petrelthread.placement.preempt import Victim, choose_victims
 from petrelthread.settings import Settings
@@ -30,8 +30,6 @@
 
 log = logging.getLogger(__name__)
 
-LATE_S = 1e6  # what is late anyway comes after all that is not
-
 PATIENCE_S = 10.0  # how long a job waits before others are stopped for it,
 PATIENCE_SHARE = 0.2  # or this share of the time in which its class should start
 STOP_S = 5.0  # a stop that takes longer than this holds up no other
@@ -159,25 +157,13 @@
                     use[job.team] = (cores + job.cores, accelerators + job.accelerators)
         return use
 
-    def due_at(self, job: Job, path_s: float, now: float) -> float:
-        """The first of the job's objectives that it can still reach.
-
-        A job too long for any of them is due as early as it can be; one that has become late by
-        waiting gives way to all that can still be in time.
-        """
+    def goals(self, job: Job) -> tuple[float, ...]:
+        """When its class's objectives want the job to be done, the soonest first."""
         if job.due_s is not None:
-            goals = [job.due_s * times for times in self._times.get(job.jobclass, [1.0])]
+            within = [job.due_s * times for times in self._times.get(job.jobclass, [1.0])]
         else:
-            goals = self._within.get(job.jobclass, [])
-        if not goals:
-            return job.accepted_at + 2 * LATE_S
-        for goal in sorted(goals):
-            if now + path_s <= job.accepted_at + goal:
-                return job.accepted_at + goal
-        whole_s = self._waves(job, job.tasks) * self.estimates.run_s(job)
-        if whole_s > max(goals):
-            return job.accepted_at + whole_s
-        return job.accepted_at + LATE_S
+            within = self._within.get(job.jobclass, [])
+        return tuple(job.accepted_at + seconds for seconds in sorted(within))
 
     def _waves(self, job: Job, tasks: int) -> int:
         team = self.teams[job.team]
@@ -189,28 +175,34 @@
         return math.ceil(tasks / max(1.0, most))
 
     def path_s(self, job: Job) -> float:
-        """How long the job still takes at best: its team's limit makes it run in waves."""
-        return self._waves(job, job.tasks - job.done) * self.estimates.run_s(job)
+        """How long the job still takes at best, with its team's limit for itself."""
+        run_s = self.estimates.run_s(job)
+        team = self.teams[job.team]
+        left = job.tasks - job.done - len(self._fleet.finished.get(job.index, ()))
+        share = 0.0
+        if job.cores > 0:
+            share = max(share, left * job.cores / team.cpus_max)
+        if job.accelerators > 0:
+            share = max(share, left * job.accelerators / team.gpus_max)
+        return run_s * share
 
-    def standings(self) -> list[Standing]:
-        out = []
-        now = time.time()
+    def turns(self) -> list[Turn]:
+        standings = []
         for job in self._book.open.values():
             left = job.tasks - job.done
-            path_s = self.path_s(job)
-            out.append(
+            standings.append(
                 Standing(
                     job.index,
                     job.team,
                     job.rank,
                     job.accepted_at,
-                    self.due_at(job, path_s, now),
-                    path_s,
+                    self.goals(job),
+                    self.path_s(job),
                     left * job.cores,
                     left * job.accelerators,
                 )
             )
-        return out
+        return order(standings, self._guarantees, time.time())
 
     def want(self, job: Job) -> Want:
         live_zones: dict[int, int] = {}
@@ -241,10 +233,9 @@
 
     def decide(self, now: float) -> tuple[list[Placement], list[Attempt]]:
         """What to start, and what to stop to make room."""
-        ordered = order(self.standings(), self._guarantees)
         wants: list[Want] = []
         guaranteed: dict[int, bool] = {}
-        for index, inside in ordered:
+        for index, inside, _ in self.turns():
             job = self._book.jobs[index]
             if job.pending > 0 and now >= job.not_before:
                 wants.append(self.want(job))
@@ -438,6 +429,15 @@
             for attempt in list(job.live.values()):
                 book.release(attempt, done=True)
             book.finish(job.id, wire.DONE)
+            log.debug(
+                "done %s (%s of %s): %d tasks, %.1f s after it was accepted, %.1f s at best",
+                job.id,
+                self._book.names.classes.name(job.jobclass),
+                self._book.names.teams.name(job.team),
+                job.tasks,
+                time.time() - job.accepted_at,
+                self._waves(job, job.tasks) * self.estimates.run_s(job),
+            )
         if done_number:
             book.apply_done(done_number, done_record)
             self._forget_finished(done_record)
--- a/petrelthread/placement/test_place.py
+++ b/petrelthread/placement/test_place.py
@@ -130,23 +130,42 @@
         assert set(served) <= {wants[1].job}
 
 
+def standing(
+    job: int, team: int, rank: int, at: float, goals: list[float], path: float
+) -> Standing:
+    return Standing(job, team, rank, at, tuple(goals), path, 100.0, 0.0)
+
+
 def test_order_is_guarantee_then_rank_then_deadline() -> None:
-    inf = float("inf")
     jobs = [
-        Standing(0, 0, 1, 10.0, 500.0, 5.0, 100.0, 0.0),
-        Standing(1, 0, 2, 11.0, 400.0, 5.0, 100.0, 0.0),
-        Standing(2, 0, 2, 12.0, 300.0, 5.0, 100.0, 0.0),
-        Standing(3, 1, 0, 13.0, inf, 5.0, 4.0, 0.0),  # lowest rank, but guaranteed
-        Standing(4, 0, 2, 1.0, 600.0, 350.0, 100.0, 0.0),  # long: has to begin by 250
+        standing(0, 0, 1, 10.0, [500.0], 5.0),
+        standing(1, 1, 2, 11.0, [400.0], 5.0),
+        standing(2, 2, 2, 12.0, [300.0], 5.0),
+        standing(3, 3, 0, 13.0, [], 5.0)._replace(cores_left=4.0),  # lowest rank, but guaranteed
+        standing(4, 4, 2, 1.0, [600.0], 350.0),  # long: has to begin by 250
+        standing(5, 5, 2, 1.0, [30.0], 90.0),  # late anyway
+    ]
+    got = order(jobs, [(8.0, 0.0)] * 6, 20.0)
+    assert [turn.job for turn in got] == [3, 4, 2, 1, 5, 0]
+    assert [turn.guaranteed for turn in got] == [True] + [False] * 5
+
+
+def test_the_longest_of_a_team_gives_way_and_gets_its_next_goal() -> None:
+    jobs = [
+        standing(0, 0, 1, 0.0, [100.0, 200.0], 80.0),
+        standing(1, 0, 1, 1.0, [101.0, 201.0], 40.0),
+        standing(2, 0, 1, 2.0, [102.0, 202.0], 50.0),
     ]
-    got = order(jobs, [(8.0, 0.0), (8.0, 0.0)])
-    assert got == [(3, True), (4, False), (2, False), (1, False), (0, False)]
+    got = order(jobs, [(0.0, 0.0)], 0.0)
+    assert {turn.job: turn.due_at for turn in got} == {0: 200.0, 1: 101.0, 2: 102.0}
+    assert [turn.job for turn in got] == [2, 0, 1]
 
 
 def test_guarantee_counts_the_teams_earlier_jobs() -> None:
     jobs = [
-        Standing(0, 0, 1, 1.0, 9e9, 1.0, 6.0, 0.0),
-        Standing(1, 0, 1, 2.0, 9e9, 1.0, 4.0, 0.0),  # does not fit along with the first
-        Standing(2, 0, 1, 3.0, 9e9, 1.0, 2.0, 0.0),
+        standing(0, 0, 1, 1.0, [], 1.0)._replace(cores_left=6.0),
+        standing(1, 0, 1, 2.0, [], 1.0)._replace(cores_left=4.0),  # not along with the first
+        standing(2, 0, 1, 3.0, [], 1.0)._replace(cores_left=2.0),
     ]
-    assert dict(order(jobs, [(8.0, 0.0)])) == {0: True, 1: False, 2: True}
+    got = {turn.job: turn.guaranteed for turn in order(jobs, [(8.0, 0.0)], 0.0)}
+    assert got == {0: True, 1: False, 2: True}
--- a/petrelthread/rental/keeper.py
+++ b/petrelthread/rental/keeper.py
@@ -217,7 +217,8 @@
         left = [[team.cpus_max, team.gpus_max] for team in self._rounds.teams]
         out = []
         wall = time.time()
-        for job in sorted(self._book.open.values(), key=lambda j: j.accepted_at):
+        for index, _, due_at in self._rounds.turns():
+            job = self._book.jobs[index]
             unfinished = job.tasks - job.done - len(self._fleet.finished.get(job.index, ()))
             if unfinished <= 0 or now < job.not_before:
                 continue
@@ -239,7 +240,7 @@
                 Demand(
                     tasks,
                     max(work_s, 0.0),
-                    self._rounds.due_at(job, self._rounds.path_s(job), wall) - wall,
+                    due_at - wall,
                     job.cores,
                     job.accelerators,
                     job.ram_gb,
