Use the cloud's burst and list after renting

Cause sought: first rentals come one by one over 8 s. The calls still come one by one: each plan takes the first offer to be granted in full.

--- a/petrelthread/controller.py
+++ b/petrelthread/controller.py
@@ -73,7 +73,7 @@
             lambda now: self._writes.spare(now, CLEAN_UP_KEEPS),
         )
         cloud_rate = cluster.cloud.rps * 0.85
-        cloud = CloudClient(request, settings.endpoints.cloud, Budget(cloud_rate, cloud_rate))
+        cloud = CloudClient(request, settings.endpoints.cloud, Budget(cloud_rate, 2 * cloud_rate))
         self.options = Options()
         self.keeper = Keeper(
             settings,
--- a/petrelthread/rental/keeper.py
+++ b/petrelthread/rental/keeper.py
@@ -129,11 +129,9 @@
     # ---- the loop ----------------------------------------------------------------------------
 
     async def step(self, now: float) -> None:
-        """One turn: settle, list, plan, and make the calls."""
+        """One turn: settle, plan, make the calls, list."""
         await self.read_catalog(now)
         await self._settle(now)
-        if now - self._listed_at >= LIST_EVERY_S:
-            await self._read_list(now)
         if not self.hulls or not self._leading():
             return
         plan = self._plan(now)
@@ -144,6 +142,8 @@
         calls = [self._rent(rent, now) for rent in plan.rents]
         if calls:
             await asyncio.gather(*calls)
+        if now - self._listed_at >= LIST_EVERY_S and self._leading():
+            await self._read_list(asyncio.get_running_loop().time())
 
     async def _settle(self, now: float) -> None:
         for op in list(self.ops.values()):
