--- a/petrelthread/rental/keeper.py
+++ b/petrelthread/rental/keeper.py
@@ -22,6 +22,7 @@
 LIST_EVERY_S = 10.0
 CATALOG_EVERY_S = 60.0
 REPEAT_S = 1.5
+REPLANS = 10
 
 
 class CloudOp:
@@ -138,10 +139,17 @@
         self.last_plan = plan
         for machine in self._fleet.machines.values():
             machine.retiring = machine.index in plan.retiring
+        rents = plan.rents
+        # An offer that gives less than was asked leaves the rest to the next one, at once.
+        for _ in range(REPLANS):
+            if not rents:
+                break
+            full = await asyncio.gather(*(self._rent(rent, now) for rent in rents))
+            if all(full) or not self._leading():
+                break
+            now = asyncio.get_running_loop().time()
+            rents = self._plan(now).rents
         await self._return(self._to_return(plan, now), now)
-        calls = [self._rent(rent, now) for rent in plan.rents]
-        if calls:
-            await asyncio.gather(*calls)
         if now - self._listed_at >= LIST_EVERY_S and self._leading():
             await self._read_list(asyncio.get_running_loop().time())
 
@@ -413,7 +421,8 @@
         self._serial += 1
         return f"{self._fleet.epoch}-{self._serial}"
 
-    async def _rent(self, rent: Rent, now: float) -> None:
+    async def _rent(self, rent: Rent, now: float) -> bool:
+        """True unless the cloud gave less than was asked for."""
         names = self._book.names
         key = f"c/{self._next()}"
         value = {
@@ -427,11 +436,12 @@
         op.busy = True
         outcome, _ = await self._claims.claim([wire.put(ROOT + key, value)], key)
         if outcome is not Outcome.WON:
-            return
+            return True
         move(op, Op.DISPATCHING)
         self.ops[key] = op
         self._book.rentals[key[2:]] = value
         await self._send_rent(op, now)
+        return self.refusals.open(rent.type, rent.zone, rent.spot, now)
 
     async def _send_rent(self, op: CloudOp, now: float) -> None:
         value = op.value
