--- a/petrelthread/rental/plan.py
+++ b/petrelthread/rental/plan.py
@@ -23,6 +23,7 @@
     due_share: float = 0.7  # of the time left until jobs are due that their work may take
     due_least_s: float = 45.0  # work due sooner than this is planned as if due then
     keep_share: float = 0.35  # of those times: dear machines that are up stay until this suffices
+    dear_fill: float = 0.5  # of a dear machine's cores that must be lacking
     idle_s: float = 20.0  # a surplus spot machine goes back after idling this long
     dear_idle_s: float = 2.0  # and an ordinary one after this
     reserve_share: float = 0.5  # of the cores asked for lately by jobs that must start quickly
@@ -184,6 +185,8 @@
             lacking = target - have
             if lacking <= 1e-6 or len(rents) >= calls:
                 continue
+            if dear and lacking < options.dear_fill * cores:
+                continue
             count = math.ceil(lacking / cores - 1e-6)
             if cores > 2 * lacking and len(priced) > 1:
                 # Much larger than needed: left to a smaller one, if that costs less in all.
@@ -210,7 +213,8 @@
     for machine in sorted(
         owned, key=lambda o: (o.price / max(o.cores, 1e-9), -o.tasks, o.idle_s or 0.0, o.machine)
     ):
-        if have < (keep_cheap if machine.spot else keep_dear) - 1e-6:
+        lacking = (keep_cheap if machine.spot else keep_dear) - have
+        if lacking > (1e-6 if machine.spot else options.dear_fill * machine.cores):
             have += machine.cores
             continue
         retiring.add(machine.machine)
