--- a/petrelthread/fleet/table.py
+++ b/petrelthread/fleet/table.py
@@ -13,6 +13,7 @@
 log = logging.getLogger(__name__)
 
 DRIFT = 1.002
+BEFORE_RUNNING = ("", wire.FETCHING, wire.GATHERING)
 ERRORS_OF_JOBS = 2  # different jobs failing on a machine make it faulty
 ERRORS_IN_A_ROW = 2  # so do failures of one job that completes elsewhere
 JOB_BACKOFF_S = 5.0
@@ -188,7 +189,7 @@
     ) -> None:
         """An attempt that the book does not hold for this machine."""
         if leg.status == wire.ENDED:
-            if leg.cause == wire.CAUSE_DONE:
+            if leg.cause == wire.CAUSE_DONE and not job.service:
                 self._finish(job, task)
             return
         if job.final is None and job.states[task] == 0:
@@ -210,7 +211,7 @@
         if attempt.state is not Op.CONFIRMED:
             move(attempt, Op.CONFIRMED)
         before, attempt.status = attempt.status, leg.status
-        if leg.status in (wire.RUNNING, wire.FLUSHING) and before in ("", wire.FETCHING):
+        if leg.status in (wire.RUNNING, wire.FLUSHING) and before in BEFORE_RUNNING:
             attempt.running_at = now
             if not job.first_start_at:
                 job.first_start_at = now
@@ -218,7 +219,7 @@
         if leg.status != wire.ENDED or before == wire.ENDED:
             return
         self.on_change()
-        if leg.cause == wire.CAUSE_DONE:
+        if leg.cause == wire.CAUSE_DONE and not job.service:
             machine.errors_of.clear()
             machine.errors = 0
             machine.use_image(job.image, job.size_gb, self.cache_gb(machine.type))
@@ -231,7 +232,7 @@
             return
         if leg.cause == wire.CAUSE_ERROR:
             self._failed(machine, job, now)
-        elif leg.cause not in (wire.CAUSE_STOPPED, None):
+        elif leg.cause in (wire.CAUSE_FULL, wire.CAUSE_IN_USE, wire.CAUSE_UNKNOWN):
             log.info("machine %s refused %s/%d: %s", machine.name, job.id, attempt.task, leg.cause)
             job.not_before = max(job.not_before, now + 1.0)
         # Ended without being done: over, and it stays listed until forgotten, so that no late
@@ -322,7 +323,7 @@
             return False  # the book may lag; a job that never was does not reach a worker
         if (job.index, task, leg.try_) in machine.unsure:
             return False  # a late direct command would start it again
-        if leg.cause == wire.CAUSE_DONE:
+        if leg.cause == wire.CAUSE_DONE and not job.service:
             # Forgotten only once it is durable.
             return job.final is not None or job.states[task] == 2
         return not ours
--- a/petrelthread/intake/checks.py
+++ b/petrelthread/intake/checks.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from petrelthread.settings import Team
-from petrelthread.wire import Hull, JobSpec
+from petrelthread.wire import ARRAY, Hull, JobSpec
 
 EPS = 1e-9
 
@@ -21,11 +21,13 @@
     if team is None:
         raise CannotRun(f"unknown team {spec.crew}")
     # Of an array one task has to fit the limit: the others can run after it.
-    if spec.cores > team.cpus_max + EPS:
-        raise CannotRun(f"a task takes {spec.cores:g} cores, team limit is {team.cpus_max:g}")
-    if spec.accelerators > team.gpus_max + EPS:
+    at_once = 1 if spec.shape == ARRAY else spec.legs
+    cores, accelerators = at_once * spec.cores, at_once * spec.accelerators
+    if cores > team.cpus_max + EPS:
+        raise CannotRun(f"takes {cores:g} cores at once, team limit is {team.cpus_max:g}")
+    if accelerators > team.gpus_max + EPS:
         raise CannotRun(
-            f"a task takes {spec.accelerators:g} accelerators, team limit is {team.gpus_max:g}"
+            f"takes {accelerators:g} accelerators at once, team limit is {team.gpus_max:g}"
         )
     if hulls is None:
         raise NotYetKnown("machine types are not known yet")
--- a/petrelthread/ledger/book.py
+++ b/petrelthread/ledger/book.py
@@ -87,6 +87,7 @@
         "failed_on",
         "final",
         "first_start_at",
+        "gang",
         "grace_s",
         "guess_s",
         "id",
@@ -100,6 +101,7 @@
         "rank",
         "same_place",
         "scatter",
+        "service",
         "size_gb",
         "spot",
         "states",
@@ -151,6 +153,8 @@
         self.same_place = bool(flags & 1)
         self.scatter = bool(flags & 2)
         self.spot = bool(flags & 4)
+        self.gang = bool(flags & 8)  # all tasks at once or none
+        self.service = bool(flags & 16)  # runs until it is cancelled
         self.final: str | None = None
         self.states = bytearray(tasks)
         self.live: dict[int, Attempt] = {}
@@ -165,6 +169,7 @@
     @staticmethod
     def encode(spec: wire.JobSpec, now: float) -> list[Any]:
         flags = spec.same_place | spec.scatter << 1 | spec.driftwood << 2
+        flags |= (spec.shape == wire.GANG) << 3 | (spec.shape == wire.SERVICE) << 4
         return [
             spec.crew,
             spec.jobclass,
--- a/petrelthread/placement/place.py
+++ b/petrelthread/placement/place.py
@@ -59,6 +59,18 @@
         self.ram_gb -= want.ram_gb
         self.images.add(want.image)
 
+    def copy(self) -> Slot:
+        return Slot(
+            self.machine,
+            self.type,
+            self.zone,
+            self.spot,
+            self.cores,
+            self.accelerators,
+            self.ram_gb,
+            set(self.images),
+        )
+
     def rank(self, want: Want) -> tuple[bool, float, float, int]:
         """Smaller is better."""
         return (want.image not in self.images, -self.cores, -self.ram_gb, self.machine)
@@ -82,6 +94,7 @@
     scatter: bool
     live_zones: dict[int, int]  # where tasks of the job may be now, and how many
     avoid: frozenset[int] = frozenset()  # machines on which it failed
+    whole: bool = False  # a gang: all pending tasks in this round or none
 
 
 class TeamRoom:
@@ -165,8 +178,9 @@
 
 def _place_job(want: Want, slots: list[Slot], team: TeamRoom) -> list[int]:
     most = team.most(want)
-    if most <= 0:
+    if most <= 0 or (want.whole and most < want.pending):
         return []
+    before = [s.copy() for s in slots] if want.whole else []
     only = single_zone(want, slots, most) if want.same_place else None
     if want.same_place and only is None:
         return []
@@ -179,6 +193,7 @@
             heap.append((slot.rank(want), at))
     heapq.heapify(heap)
     got: list[int] = []
+    limit = (team.cores, team.accelerators)
     while heap and len(got) < most:
         _, at = heap[0]
         slot = slots[at]
@@ -194,4 +209,8 @@
             heapq.heapreplace(heap, (slot.rank(want), at))
         else:
             heapq.heappop(heap)
+    if want.whole and len(got) < want.pending:
+        slots[:] = before
+        team.cores, team.accelerators = limit
+        return []
     return got
--- a/petrelthread/placement/rounds.py
+++ b/petrelthread/placement/rounds.py
@@ -227,6 +227,7 @@
             job.scatter,
             live_zones,
             frozenset(job.failed_on),
+            job.gang,
         )
 
     # ---- one round --------------------------------------------------------------------------
@@ -237,12 +238,15 @@
         guaranteed: dict[int, bool] = {}
         for index, inside, _ in self.turns():
             job = self._book.jobs[index]
+            if job.gang and job.live:
+                continue  # its other tasks are still there: they end, and all start anew together
             if job.pending > 0 and now >= job.not_before:
                 wants.append(self.want(job))
                 guaranteed[index] = inside
         if not wants:
             return [], []
         slots, surplus = self.slots()
+        free = list(slots.values())
         use = self.team_use()
         teams = [
             TeamRoom(team.cpus_max - use[i][0], team.gpus_max - use[i][1])
@@ -250,8 +254,9 @@
         ]
         clock = asyncio.get_running_loop().time
         stop_at = clock() + self.budget_s
-        done = place(wants, list(slots.values()), teams, self._cursor, lambda: clock() >= stop_at)
+        done = place(wants, free, teams, self._cursor, lambda: clock() >= stop_at)
         self._cursor = done.next_start
+        slots = {slot.machine: slot for slot in free}
         if done.next_start:
             self.wake.set()
         elif surplus:
@@ -264,6 +269,7 @@
                 if want.pending > placed_so_far.get(want.job, 0)
                 and not want.same_place
                 and not want.scatter
+                and not want.whole
             ]
             done.placed.extend(place(rest, surplus, teams).placed)
         placements: list[Placement] = []
@@ -329,9 +335,11 @@
         out = []
         for there in self._book.on_machine.values():
             for attempt in there.values():
+                job = attempt.job
                 if attempt.state is not Op.CONFIRMED or attempt.ended or attempt.halted_at:
                     continue
-                job = attempt.job
+                if job.gang:
+                    continue  # to stop one would lose them all
                 ran_s = now - attempt.running_at if attempt.running_at else 0.0
                 out.append(
                     Victim(
--- a/petrelthread/placement/test_place.py
+++ b/petrelthread/placement/test_place.py
@@ -50,6 +50,7 @@
                 scatter,
                 live,
                 frozenset({0}) if r.random() < 0.1 else frozenset(),
+                not live and r.random() < 0.2,
             )
         )
     return wants, slots, [TeamRoom(float(r.choice([4, 10, 40])), 3.0) for _ in range(2)]
@@ -76,6 +77,8 @@
                 if not room:
                     continue
                 chosen = min(room, key=lambda z: (-min(room[z], most), z))
+        saved = [s.copy() for s in slots], [(t.cores, t.accelerators) for t in teams]
+        count = len(placed)
         for _ in range(want.pending):
             team = teams[want.team]
             if team.cores + 1e-6 < want.cores or team.accelerators + 1e-6 < want.accelerators:
@@ -102,6 +105,11 @@
             team.accelerators -= want.accelerators
             zones[slot.zone] = zones.get(slot.zone, 0) + 1
             placed.append((want.job, slot.machine))
+        if want.whole and len(placed) - count < want.pending:
+            del placed[count:]
+            slots[:] = saved[0]
+            for t, (cores, accelerators) in zip(teams, saved[1], strict=True):
+                t.cores, t.accelerators = cores, accelerators
     return placed
 
 
--- a/petrelthread/wire/__init__.py
+++ b/petrelthread/wire/__init__.py
@@ -20,8 +20,10 @@
 RETURN_PATH = "/hosts/return"
 
 QUEUED, RUNNING, DONE, ABORTED = "queued", "running", "done", "aborted"
+ARRAY, GANG, SERVICE = "array", "group", "service"
+SHAPES = (ARRAY, GANG, SERVICE)
 RANKS = {"prod": 3, "high": 2, "standard": 1, "low": 0}
-FETCHING, FLUSHING, ENDED = "fetching", "flushing", "ended"
+FETCHING, GATHERING, FLUSHING, ENDED = "fetching", "gathering", "flushing", "ended"
 CAUSE_DONE, CAUSE_STOPPED, CAUSE_ERROR = "done", "stopped", "error"
 CAUSE_FULL, CAUSE_IN_USE, CAUSE_UNKNOWN = "full", "in_use", "unknown"
 
@@ -71,8 +73,8 @@
         raise BadRequest(str(error)) from None
     if not JOB_ID.match(spec.name_id):
         raise BadRequest("name_id: must look like wk-000412")
-    if spec.shape != "array":
-        raise BadRequest("shape: must be array")
+    if spec.shape not in SHAPES:
+        raise BadRequest("shape: must be array, group or service")
     if spec.rank not in RANKS:
         raise BadRequest("rank: must be prod, high, standard or low")
     if not 1 <= spec.legs <= MAX_TASKS:
