--- a/petrelthread/placement/test_place.py
+++ b/petrelthread/placement/test_place.py
@@ -58,7 +58,7 @@
 
 def model(wants: list[Want], slots: list[Slot], teams: list[TeamRoom]) -> list[tuple[int, int]]:
     """Task by task, looking at every machine each time."""
-    placed = []
+    placed: list[tuple[int, int]] = []
     for want in wants:
         zones = dict(want.live_zones)
         chosen = None
