--- a/petrelthread/rental/plan.py
+++ b/petrelthread/rental/plan.py
@@ -147,78 +147,76 @@
     options: Options,
     calls: int,
 ) -> Plan:
-    """``offers``: those not refused lately. ``calls``: rental calls that may be made now."""
+    """``offers``: those not refused lately. ``calls``: rental calls that may be made now.
+
+    The groups with the fewest offers choose their machines first, the cheapest core first. What no
+    group needs is surplus: idle, it is to be returned, busy, it gets nothing new.
+    """
     rents: list[Rent] = []
-    keep_cheap, keep_dear = reserve_cores, 0.0
-    left = list(owned)
-    for group in _groups(demands):
+    wanted = 0.0
+    left = sorted(
+        owned, key=lambda o: (o.price / max(o.cores, 1e-9), -o.tasks, o.idle_s or 0.0, o.machine)
+    )
+    # The most common shape stands for its group.
+    shapes = [(max(group, key=lambda d: d.tasks * d.cores), group) for group in _groups(demands)]
+    shapes.sort(key=lambda pair: (sum(_fits(pair[0], o) > 0 for o in offers), not pair[0].spot))
+    for at, (shape, group) in enumerate(shapes):
+        spare = reserve_cores if shape.spot and at == len(shapes) - 1 else 0.0
         could_use = sum(d.tasks * d.cores for d in group)
         work = sum(d.work_s * d.cores for d in group)
-        cheap_target = min(could_use, work / options.spot_drain_s)
-        dear_target = min(could_use, _cores_in_time(group, options))
         # Even a single long task wants its core.
-        biggest = max(d.cores for d in group)
-        cheap_target = max(cheap_target, min(could_use, biggest))
-        dear_target = max(dear_target, min(could_use, biggest))
-        cheap_target += reserve_cores if group[0].spot else 0.0
-        # The roomy case stands for the group: its most common shape.
-        shape = max(group, key=lambda d: d.tasks * d.cores)
+        least = min(could_use, max(d.cores for d in group))
+        cheap_target = max(least, min(could_use, work / options.spot_drain_s)) + spare
+        dear_target = max(least, min(could_use, _cores_in_time(group, options)))
+        keep = min(could_use, _cores_in_time(group, options, options.keep_share))
+        keep_cheap, keep_dear = could_use + spare, max(keep, dear_target)
+        wanted += keep_cheap
         have = 0.0
         for machine in list(left):
-            fits = _fits(shape, machine)
-            if fits:
-                have += fits * shape.cores
+            cores = _fits(shape, machine) * shape.cores
+            dear = shape.spot and not machine.spot
+            lacking = (keep_dear if dear else keep_cheap) - have
+            if cores > 0 and lacking > (options.dear_fill * cores if dear else 1e-6):
+                have += cores
                 left.remove(machine)
-        keep_cheap += could_use
-        keep = min(could_use, _cores_in_time(group, options, options.keep_share))
-        keep_dear += max(keep, dear_target) if group[0].spot else could_use
         priced = []
         for offer in offers:
-            fits = _fits(shape, offer)
-            if fits:
-                priced.append((offer.price / (fits * shape.cores), offer, fits * shape.cores))
-        if not priced:
-            continue
+            cores = _fits(shape, offer) * shape.cores
+            if cores > 0:
+                priced.append((offer.price / cores, offer, cores))
         for _, offer, cores in sorted(priced, key=lambda p: (p[0], p[1].type, p[1].zone)):
-            dear = group[0].spot and not offer.spot
-            target = dear_target if dear else cheap_target
-            lacking = target - have
+            dear = shape.spot and not offer.spot
+            lacking = (dear_target if dear else cheap_target) - have
             if lacking <= 1e-6 or len(rents) >= calls:
                 continue
             if dear and lacking < options.dear_fill * cores:
                 continue
-            count = math.ceil(lacking / cores - 1e-6)
-            if cores > 2 * lacking and len(priced) > 1:
+            if cores > 2 * lacking:
                 # Much larger than needed: left to a smaller one, if that costs less in all.
                 smaller = [p for p, o, c in priced if c < cores and p * c < offer.price]
                 if smaller:
                     continue
-            count = min(count, RENT_MOST)
+            count = min(math.ceil(lacking / cores - 1e-6), RENT_MOST)
             rents.append(Rent(offer.type, offer.zone, offer.spot, count))
             have += count * cores
-    returns, retiring = _surplus(owned, keep_cheap, keep_dear, options)
-    return Plan(rents, returns, retiring, keep_cheap, sum(o.cores for o in owned))
-
-
-def _surplus(
-    owned: list[Owned], keep_cheap: float, keep_dear: float, options: Options
-) -> tuple[list[int], set[int]]:
-    """What is beyond the need, the dearest core first: idle ones to return, busy ones to retire.
-
-    Dear capacity is kept only while the backlog is too long for what is cheaper than it.
-    """
-    returns: list[int] = []
-    retiring: set[int] = set()
-    have = 0.0
-    for machine in sorted(
-        owned, key=lambda o: (o.price / max(o.cores, 1e-9), -o.tasks, o.idle_s or 0.0, o.machine)
-    ):
-        lacking = (keep_cheap if machine.spot else keep_dear) - have
-        if lacking > (1e-6 if machine.spot else options.dear_fill * machine.cores):
-            have += machine.cores
-            continue
-        retiring.add(machine.machine)
+    if not shapes:
+        left = _beyond(left, reserve_cores)
+        wanted = reserve_cores
+    retiring = {machine.machine for machine in left}
+    returns = []
+    for machine in left:
         patience = options.idle_s if machine.spot else options.dear_idle_s
         if machine.idle_s is not None and machine.idle_s >= patience:
             returns.append(machine.machine)
-    return returns, retiring
+    return Plan(rents, returns, retiring, wanted, sum(o.cores for o in owned))
+
+
+def _beyond(machines: list[Owned], reserve_cores: float) -> list[Owned]:
+    """What is left of the machines, cheapest first, after the reserve."""
+    out = []
+    for machine in machines:
+        if machine.spot and reserve_cores > 1e-6:
+            reserve_cores -= machine.cores
+        else:
+            out.append(machine)
+    return out
