--- a/petrelthread/http/server.py
+++ b/petrelthread/http/server.py
@@ -16,6 +16,7 @@
 
 IDLE_S = 75.0
 BODY_S = 10.0
+LINE_MOST = 8 * 1024
 
 
 class Response(NamedTuple):
@@ -71,6 +72,11 @@
                     event = await self._next(conn, reader, writer)
                 if not isinstance(event, h11.Request):
                     return
+                # h11 bounds only what is still incomplete, and takes any version number.
+                if len(event.target) > LINE_MOST:
+                    raise h11.RemoteProtocolError("line too long")
+                if event.http_version not in (b"1.0", b"1.1"):
+                    raise h11.RemoteProtocolError("version not supported")
                 async with asyncio.timeout(BODY_S):
                     body = await self._body(conn, reader, writer)
             except h11.RemoteProtocolError as error:
--- /dev/null
+++ b/petrelthread/ledger/test_ledger.py
@@ -0,0 +1,100 @@
+"""Records: packed and read back without loss, and the steps an operation may take."""
+
+from __future__ import annotations
+
+import random
+
+import orjson
+import pytest
+
+from petrelthread.ledger import (
+    Attempt,
+    Book,
+    IllegalMove,
+    Job,
+    NamesBook,
+    Op,
+    move,
+    pack_done,
+    pack_round,
+)
+from petrelthread.wire import ABORTED, DONE, parse_job
+from tests.world import job
+
+
+def book_of(jobs: dict[str, int]) -> Book:
+    book = Book(NamesBook(["red", "blue"], ["a", "b"]))
+    for job_id, tasks in jobs.items():
+        book.accept(job_id, Job.encode(parse_job(orjson.dumps(job(job_id, tasks))), 5.0))
+    return book
+
+
+def test_rounds_survive_packing() -> None:
+    r = random.Random(5)
+    for _ in range(50):
+        entries = {
+            (f"host-{r.randrange(9):06d}", 1, f"wk-{r.randrange(5):06d}", r.randrange(200))
+            for _ in range(r.randrange(1, 300))
+        }
+        records = pack_round(entries, 900)
+        assert all(len(orjson.dumps(record)) <= 900 for record in records)
+        back = {
+            (machine, session, job_id, task)
+            for record in records
+            for machine, session, jobs in record
+            for job_id, tasks in jobs
+            for task in tasks
+        }
+        assert back == entries
+
+
+def test_finished_tasks_survive_packing() -> None:
+    r = random.Random(6)
+    for _ in range(50):
+        sizes = {f"wk-{n:06d}": r.randrange(1, 3000) for n in range(r.randrange(1, 20))}
+        todo = {j: r.sample(range(n), r.randrange(1, n + 1)) for j, n in sizes.items()}
+        expected = {j: set(tasks) for j, tasks in todo.items()}
+        book = book_of(sizes)
+        number = 0
+        while todo:
+            record, todo = pack_done(todo, 900)
+            assert record
+            assert len(orjson.dumps(record)) <= 900
+            number += 1
+            book.apply_done(number, record)
+        for job_id, tasks in expected.items():
+            found = book.by_id[job_id]
+            assert {n for n in range(found.tasks) if found.states[n] == 2} == tasks
+            assert found.done == len(tasks)
+
+
+def test_a_newer_round_settles_the_older_attempt() -> None:
+    book = book_of({"wk-000001": 2})
+    book.apply_round(7, [["host-1", 1, [["wk-000001", [0, 1]]]]])
+    book.apply_round(9, [["host-2", 1, [["wk-000001", [0]]]]])
+    found = book.by_id["wk-000001"]
+    assert {task: attempt.number for task, attempt in found.live.items()} == {0: 9, 1: 7}
+    book.apply_round(8, [["host-3", 1, [["wk-000001", [0]]]]])  # late: read after the newer one
+    assert found.live[0].number == 9
+    assert 8 in book.dead_rounds()
+
+
+def test_final_states_never_change() -> None:
+    book = book_of({"wk-000001": 1})
+    book.finish("wk-000001", ABORTED)
+    book.finish("wk-000001", DONE)
+    book.mark_done(book.by_id["wk-000001"], 0)
+    assert book.by_id["wk-000001"].status == ABORTED
+    book.finish("wk-000002", DONE)  # keys may be read in any order
+    late = Job.encode(parse_job(orjson.dumps(job("wk-000002", 3))), 5.0)
+    assert book.accept("wk-000002", late).status == DONE
+
+
+def test_operations_take_only_the_steps_there_are() -> None:
+    found = book_of({"wk-000001": 1}).by_id["wk-000001"]
+    attempt = Attempt(1, found, 0, 0, 1, Op.AUTHORIZED)
+    for step in (Op.DISPATCHING, Op.UNKNOWN, Op.CONFIRMED, Op.UNKNOWN, Op.SUPERSEDED):
+        move(attempt, step)
+    for step in (Op.CONFIRMED, Op.UNKNOWN, Op.DISPATCHING):
+        with pytest.raises(IllegalMove):
+            move(attempt, step)
--- /dev/null
+++ b/petrelthread/settings/test_settings.py
@@ -0,0 +1,40 @@
+"""Settings: what is refused, and that the text says where."""
+
+from __future__ import annotations
+
+import pytest
+
+from petrelthread.settings import SettingsError, load, parse
+from tests.world import SETTINGS
+
+GOOD = SETTINGS.format(name="n0", siblings="")
+
+
+def test_good_settings_and_unknown_fields() -> None:
+    settings = parse("new_field = 3\n" + GOOD)
+    assert settings.host_name == "n0"
+    workers = settings.cluster.workers
+    assert 0 < settings.hold_over_s < workers.cancel_s - workers.lease_s
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "said"),
+    [
+        ('bind = "n0:1"', 'bind = "n0"', "bind"),
+        ("lease_s = 10.0", 'lease_s = "ten"', "lease_s"),
+        ("lease_s = 10.0", "lease_s = -1.0", "lease_s"),
+        ("lease_s = 10.0", "lease_s = inf", "lease_s"),
+        ("txn_ops = 8", "txn_ops = 1", "txn_ops"),
+        ("cpus = 4.0", "cpus = -4.0", "teams[0].cpus"),
+        ('state = "state:1"', "", "state"),
+        ("count = 3", "count = [", "TOML"),
+    ],
+)
+def test_bad_settings_name_the_field(old: str, new: str, said: str) -> None:
+    with pytest.raises(SettingsError, match=said.replace("[", r"\[")):
+        parse(GOOD.replace(old, new, 1))
+
+
+def test_missing_file_is_named(tmp_path: object) -> None:
+    with pytest.raises(SettingsError, match=r"nowhere\.toml"):
+        load(f"{tmp_path}/nowhere.toml")
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -13,7 +13,7 @@
 WALL = 1_700_000_000.0
 
 
-class _Selector(selectors.DefaultSelector):  # type: ignore[misc,valid-type]
+class _Selector(selectors.DefaultSelector):
     loop: VirtualLoop
 
     def select(self, timeout: float | None = None) -> Any:
--- a/tests/world.py
+++ b/tests/world.py
@@ -68,7 +68,7 @@
 list_lag_s = 4.0
 """
 NODES = ("n0", "n1", "n2")
-HULLS = [
+HULLS: list[dict[str, Any]] = [
     {
         "sku": "small",
         "cores": 4.0,
@@ -359,7 +359,7 @@
         self.world.judge.left(leg, self.name)
 
     async def _run(self) -> None:
-        await asyncio.sleep(HULLS[0]["startup_s"])  # type: ignore[arg-type]
+        await asyncio.sleep(HULLS[0]["startup_s"])
         self.up = True
         self.answered = self._now()
         self.world.net.hosts[f"{self.name}:9"] = self.handle
