--- /dev/null
+++ b/petrelthread/admin/api.py
@@ -0,0 +1,101 @@
+"""/admin/v1/ on the peer address. What only the leader knows is fetched from it."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING, Any
+
+import orjson
+
+from petrelthread import wire
+from petrelthread.admin import views
+from petrelthread.admin.options import KNOBS, OptionError, check, with_defaults
+from petrelthread.http import NoAnswer, Response, answer
+from petrelthread.http.server import refusal
+from petrelthread.store import ROOT, Conflict, NoSuchLease, Request, StateDown, StateUnsure
+
+if TYPE_CHECKING:
+    from petrelthread.controller import Controller
+
+log = logging.getLogger(__name__)
+
+PREFIX = "/admin/v1/"
+DIRECT = "direct=1"  # asked by a sibling: answer from here, whoever leads
+
+
+class Admin:
+    def __init__(self, node: Controller, request: Request) -> None:
+        self._node = node
+        self._request = request
+        self._addrs = {s.host_name: s.peer_addr for s in node.settings.siblings}
+
+    async def handle(self, method: str, target: str, body: bytes) -> Response:
+        path, _, query = target.partition("?")
+        what, _, rest = path[len(PREFIX) :].partition("/")
+        if what == "settings" and not rest:
+            if method == "GET":
+                return await self._get_settings()
+            return await self._set(body) if method == "PUT" else refusal(405, "use GET or PUT")
+        if what not in ("status", "zones", "jobs") or (what == "jobs") != bool(rest):
+            return refusal(404, "no such path")
+        if method != "GET":
+            return refusal(405, "use GET")
+        home = self._addrs.get(self._node.election.home or "")
+        if not self._node.election.leading and home and DIRECT not in query:
+            try:
+                reply = await self._request(home, "GET", f"{path}?{DIRECT}", timeout=1.5)
+                return Response(reply.status, reply.body)
+            except NoAnswer as error:
+                log.info("the leader does not answer, showing what this node knows: %s", error)
+        now = asyncio.get_running_loop().time()
+        if what == "status":
+            return answer(200, views.status(self._node, now))
+        if what == "zones":
+            return answer(200, {"zones": views.zones(self._node)})
+        job = self._node.book.by_id.get(rest)
+        if job is None:
+            return refusal(404, f"unknown job {rest}")
+        return answer(200, views.explain(self._node, job, now))
+
+    async def _get_settings(self) -> Response:
+        if not await self._node.mirror.fresh():
+            return refusal(503, "state service unreachable", 2)
+        stored = self._node.book.options or {"values": {}, "stamp": 0}
+        values = with_defaults(stored["values"])
+        shown = [
+            {"name": name, "value": values[name], "set": name in stored["values"], **knob._asdict()}
+            for name, knob in KNOBS.items()
+        ]
+        return answer(200, {"version": stored["stamp"], "settings": shown})
+
+    async def _set(self, body: bytes) -> Response:
+        try:
+            asked = orjson.loads(body)
+            name, value, version = asked["name"], asked["value"], asked["version"]
+        except (orjson.JSONDecodeError, KeyError, TypeError):
+            return refusal(400, "expected an object with name, value and version")
+        if not isinstance(name, str) or not isinstance(version, int):
+            return refusal(400, "name must be a string and version a whole number")
+        try:
+            number = None if value is None else check(name, value)
+            if value is None and name not in KNOBS:
+                raise OptionError(f"unknown setting {name}")
+        except OptionError as error:
+            return refusal(400, str(error))
+        if not await self._node.mirror.fresh():
+            return refusal(503, "state service unreachable", 2)
+        stored: dict[str, Any] = self._node.book.options or {"values": {}, "stamp": 0}
+        if stored["stamp"] != version:
+            return refusal(409, f"version {version} is stale, it is {stored['stamp']}")
+        values = {**stored["values"], name: number}
+        if number is None:
+            del values[name]
+        key = ROOT + "options"
+        try:
+            stamp = await self._node.state.multi([wire.when(key, version)], [wire.put(key, values)])
+        except Conflict:
+            return refusal(409, f"version {version} is stale")
+        except (StateDown, StateUnsure, NoSuchLease) as error:
+            return refusal(503, f"state service: {error}", 2)
+        return answer(200, {"version": stamp, "name": name, "value": number})
--- /dev/null
+++ b/petrelthread/admin/test_admin.py
@@ -0,0 +1,82 @@
+"""The operators' surface, over the stand-ins."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import orjson
+import pytest
+
+from petrelthread.cli import main
+from petrelthread.http import Reply
+from tests.virtual import play
+from tests.world import NODES, World, job
+
+
+async def admin(world: World, node: str, method: str, path: str, body: Any = None) -> Any:
+    addr = f"{node}:2"
+    request = world.net.requester("operator")
+    reply: Reply = await request(addr, method, f"/admin/v1/{path}", body, timeout=5.0)
+    return reply.status, orjson.loads(reply.body)
+
+
+def test_why_a_job_waits() -> None:
+    async def scenario() -> None:
+        world = World()
+        await world.submit(job("wk-000001", 20, guess_s=60.0))
+        await asyncio.sleep(2.0)
+        _, got = await admin(world, "n1", "GET", "jobs/wk-000001")
+        assert "booting" in got["why"]
+        await world.running(6)
+        for node in NODES:  # followers ask the leader
+            _, got = await admin(world, node, "GET", "jobs/wk-000001")
+            assert "team red uses 12 of its limit of 12 cores" in got["why"], got["why"]
+        assert (await admin(world, "n0", "GET", "jobs/wk-000099"))[0] == 404
+        _, got = await admin(world, "n2", "GET", "status")
+        assert got["leader"] == await world.led()
+        assert got["backlog"]["batch"]["jobs"] == 1
+        assert sum(t["cores"] for t in got["teams"]) == 12.0
+        world.net.cut |= {frozenset((m, n)) for m in world.cloud.machines for n in NODES}
+        await asyncio.sleep(8.0)
+        _, got = await admin(world, "n0", "GET", "zones")
+        assert any(z["says"].startswith("DOWN") for z in got["zones"])
+
+    play(scenario())
+
+
+def test_settings_are_checked_versioned_and_applied_everywhere() -> None:
+    async def scenario() -> None:
+        world = World()
+        await world.led()
+
+        async def put(name: Any, value: Any, version: Any) -> Any:
+            body = {"name": name, "value": value, "version": version}
+            return await admin(world, "n1", "PUT", "settings", body)
+
+        assert (await put("idle_s", 9999, 0))[0] == 400
+        assert "0 to 3600" in (await put("idle_s", "soon", 0))[1]["error"]
+        assert (await put("colour", 1, 0))[0] == 400
+        assert (await put("idle_s", 7, "x"))[0] == 400
+        assert (await admin(world, "n1", "PUT", "settings", []))[0] == 400
+        status, got = await put("idle_s", 7, 0)
+        assert status == 200
+        assert (await put("idle_s", 8, 0))[0] == 409
+        await asyncio.sleep(1.0)
+        assert [n.options.idle_s for n in world.nodes.values()] == [7.0, 7.0, 7.0]
+        assert (await put("idle_s", None, got["version"]))[0] == 200
+        await asyncio.sleep(1.0)
+        assert world.nodes["n2"].options.idle_s != 7.0
+
+    play(scenario())
+
+
+def test_command_line(capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(["status", "--address", "127.0.0.1:1"]) == 1
+    shown = capsys.readouterr().err
+    assert shown.count("\n") == 1
+    assert "cannot be reached" in shown
+    assert main(["why", "wk-000001", "--address", "nonsense"]) == 1
+    assert main(["check", "/nowhere.toml"]) == 2
+    assert "/nowhere.toml" in capsys.readouterr().err
+    assert main(["version"]) == 0
--- /dev/null
+++ b/petrelthread/admin/views.py
@@ -0,0 +1,176 @@
+"""What a controller can tell about itself, the machines and the jobs."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Any
+
+from petrelthread.fleet import Health
+from petrelthread.ledger import Job, Op
+
+if TYPE_CHECKING:
+    from petrelthread.controller import Controller
+
+
+def status(node: Controller, now: float) -> dict[str, Any]:
+    book, election = node.book, node.election
+    siblings = [
+        {
+            "node": name,
+            "heard_s_ago": round(now - heard.at, 1),
+            "state_service": heard.hello.state_ok,
+            "workers_heard": heard.hello.workers,
+        }
+        for name, heard in sorted(node.gossip.heard.items())
+    ]
+    use = node.rounds.team_use()
+    backlog: dict[str, dict[str, int]] = {}
+    for job in book.open.values():
+        entry = backlog.setdefault(
+            book.names.classes.name(job.jobclass), {"jobs": 0, "waiting": 0, "running": 0}
+        )
+        entry["jobs"] += 1
+        entry["waiting"] += job.pending
+        entry["running"] += len(job.live)
+    return {
+        "node": node.settings.host_name,
+        "role": election.role.value,
+        "leader": election.home,
+        "epoch": election.known_epoch,
+        "state_service": now - node.mirror.last_ok < 3.0,
+        "siblings": siblings,
+        "zones": zones(node),
+        "machines": _machines(node),
+        "operations": operations(node, now),
+        "teams": [
+            {
+                "team": team.name,
+                "cores": use[at][0],
+                "guaranteed": team.cpus,
+                "limit": team.cpus_max,
+            }
+            for at, team in enumerate(node.rounds.teams)
+        ],
+        "backlog": backlog,
+    }
+
+
+def _machines(node: Controller) -> dict[str, int]:
+    out: dict[str, int] = {}
+    for machine in node.fleet.machines.values():
+        if machine.health is not Health.GONE:
+            out[machine.health.value] = out.get(machine.health.value, 0) + 1
+    return out
+
+
+def zones(node: Controller) -> list[dict[str, Any]]:
+    names = node.book.names.zones
+    out = []
+    for index in range(len(names)):
+        here = [m for m in node.fleet.machines.values() if m.zone == index]
+        count = {health: sum(m.health is health for m in here) for health in Health}
+        up, silent = count[Health.UP] + count[Health.DRAINING], count[Health.SILENT]
+        says = "serving" if up else "no machines"
+        if silent and not up:
+            says = "DOWN: none of its machines reports"
+        elif silent:
+            says = f"{silent} of {up + silent} machines silent"
+        elif not up and count[Health.BOOTING]:
+            says = "machines are booting"
+        out.append(
+            {
+                "zone": names.name(index),
+                "says": says,
+                "up": up,
+                "silent": silent,
+                "booting": count[Health.BOOTING],
+            }
+        )
+    return out
+
+
+def operations(node: Controller, now: float) -> list[dict[str, Any]]:
+    """The unknown ones, with their age and the evidence that will settle them."""
+    out: list[dict[str, Any]] = []
+    for op in node.keeper.ops.values():
+        if op.state is Op.UNKNOWN:
+            awaited = "the cloud's answer to the same request"
+            if op.key.startswith("c/") and not node.book.open:
+                awaited = "a list taken well after, since it is no longer wanted"
+            age_s = round(now - op.unknown_at, 1)
+            out.append({"operation": op.key, "age_s": age_s, "awaits": awaited})
+    for index, there in node.book.on_machine.items():
+        unknown = [a for a in there.values() if a.state is Op.UNKNOWN]
+        machine = node.fleet.machines.get(index)
+        if unknown and machine is not None:
+            left_s = max(0.0, node.fleet.gone_at(machine) - now)
+            out.append(
+                {
+                    "operation": f"{len(unknown)} starts on {machine.name}",
+                    "age_s": round(now - machine.heard_at, 1),
+                    "awaits": f"its report, its return, or its lease's end in {left_s:.0f} s",
+                }
+            )
+    return out
+
+
+def why(node: Controller, job: Job, now: float) -> str:
+    """Why the job waits, in one plain sentence with the numbers behind it."""
+    book = node.book
+    if job.final is not None:
+        return f"It is over: {job.final}."
+    if now - node.mirror.last_ok > 3.0:
+        return "The state service does not answer, and nothing is started without it."
+    live = list(job.live.values())
+    unknown = [a for a in live if a.state is Op.UNKNOWN]
+    running = [a for a in live if a.running_at and not a.ended]
+    done = f"{job.done} of {job.tasks} tasks done, {len(running)} running"
+    if job.pending == 0:
+        if unknown:
+            machine = node.fleet.machines.get(unknown[0].machine)
+            name = machine.name if machine else "a machine"
+            return f"{done}; {len(unknown)} may be on {name}, which has not reported since."
+        if len(running) < len(live):
+            image = book.names.images.name(job.image)
+            waiting = len(live) - len(running)
+            return f"{done}; {waiting} starting, fetching image {image} ({job.size_gb:g} GB)."
+        return f"{done}; nothing waits."
+    head = f"{done}, {job.pending} waiting"
+    if now < job.not_before:
+        return (
+            f"{head}: it failed on {len(job.failed_on)} machines and is tried again in"
+            f" {job.not_before - now:.0f} s."
+        )
+    team = node.rounds.teams[job.team]
+    used = node.rounds.team_use()[job.team][0]
+    if used + job.cores > team.cpus_max + 1e-6:
+        return f"{head}: team {team.name} uses {used:g} of its limit of {team.cpus_max:g} cores."
+    free, surplus = node.rounds.slots()
+    want = node.rounds.want(job)
+    allowed = [s for s in [*free.values(), *surplus] if s.allowed(want)]
+    if any(s.fits(want) for s in allowed):
+        return f"{head}: there is room; it is placed in the next round."
+    booting = sum(m.health is Health.BOOTING for m in node.fleet.machines.values())
+    refused = [
+        f"{book.names.types.name(kind)} {'spot' if spot else 'ordinary'} in"
+        f" {book.names.zones.name(zone)}"
+        for kind, zone, spot, _ in node.keeper.refusals.listed(now)
+    ]
+    tail = f"; the cloud has no more {', '.join(refused)}" if refused else ""
+    return (
+        f"{head}: no room for {job.cores:g} cores and {job.ram_gb:g} GB on any of {len(allowed)}"
+        f" allowed machines, {booting} are booting{tail}."
+    )
+
+
+def explain(node: Controller, job: Job, now: float) -> dict[str, Any]:
+    return {
+        "job": job.id,
+        "status": job.status,
+        "team": node.book.names.teams.name(job.team),
+        "tasks": job.tasks,
+        "done": job.done,
+        "waiting": job.pending if job.final is None else 0,
+        "age_s": round(time.time() - job.accepted_at, 1),
+        "why": why(node, job, now),
+    }
--- a/petrelthread/cli/main.py
+++ b/petrelthread/cli/main.py
@@ -6,6 +6,7 @@
 import logging
 import os
 import sys
+from typing import Any
 
 from petrelthread import __version__
 
@@ -27,9 +28,32 @@
     check.add_argument("file", metavar="FILE", help="settings file (TOML)")
     commands.add_parser("version", help="print the version")
     commands.add_parser("warm", help="load the whole daemon once, so that it lies compiled")
+    _operators(commands)
     return top
 
 
+def _operators(commands: Any) -> None:
+    common = argparse.ArgumentParser(add_help=False)
+    common.add_argument("--json", action="store_true", help="print the answer as JSON")
+    common.add_argument(
+        "--address",
+        default=os.environ.get("PETRELTHREAD_ADDRESS", "127.0.0.1:8081"),
+        help="peer address of any controller (default: $PETRELTHREAD_ADDRESS or 127.0.0.1:8081)",
+    )
+    commands.add_parser("status", parents=[common], help="everything on one screen")
+    commands.add_parser("zones", parents=[common], help="which zones serve")
+    why = commands.add_parser("why", parents=[common], help="why a job waits")
+    why.add_argument("job", metavar="JOB")
+    settings = commands.add_parser("settings", help="operators' own settings")
+    actions = settings.add_subparsers(dest="action", required=True)
+    get = actions.add_parser("get", parents=[common], help="show all, or one")
+    get.add_argument("name", nargs="?")
+    change = actions.add_parser("set", parents=[common], help="change one")
+    change.add_argument("name")
+    change.add_argument("value", help="a number, or 'default'")
+    change.add_argument("--version", type=int, help="refuse if the settings changed since")
+
+
 def main(argv: list[str] | None = None) -> int:
     top = parser()
     args = top.parse_args(argv)
@@ -42,6 +66,10 @@
         return 0
     if args.command == "check":
         return _check(args.file)
+    if args.command in ("status", "zones", "why", "settings"):
+        from petrelthread.cli.operate import operate
+
+        return operate(args)
     path = args.file if args.command == "serve" else args.config
     if path:
         return _serve(path)
--- a/petrelthread/controller.py
+++ b/petrelthread/controller.py
@@ -10,6 +10,10 @@
 import msgspec
 
 from petrelthread import wire
+from petrelthread.admin import Admin, with_defaults
+from petrelthread.admin.api import PREFIX as ADMIN_PREFIX
+from petrelthread.admin.options import rental_options
+from petrelthread.admin.views import zones
 from petrelthread.fleet import Dispatch, Fleet
 from petrelthread.http import Response, answer
 from petrelthread.http.server import refusal
@@ -46,6 +50,7 @@
         names = NamesBook([team.name for team in cluster.teams], cluster.zones)
         self.book = Book(names)
         state = StateClient(request, settings.endpoints.state, self._reads, self._writes)
+        self.state = state
         self.mirror = Mirror(state, self._on_key, gap_s=0.15)
         hold_over_s = settings.hold_over_s
         self.election = Election(
@@ -90,6 +95,8 @@
         self.fleet.cache_gb = self._cache_gb
         self.intake = Intake(settings, self.book, self.mirror, state, self.keeper.catalog)
         self.gossip = Gossip(settings.siblings, request, self._hello, self._on_hello)
+        self.admin = Admin(self, request)
+        self._quiet_zones: set[str] = set()
         self._reports: list[float] = []
         self._silent_s = 2.5 * workers.report_s + 4.0
 
@@ -109,6 +116,8 @@
             except msgspec.ValidationError as error:
                 log.warning("stored catalogue unusable: %s", error)
         before = len(self.book.jobs)
+        if key == "options":
+            self._apply_options(value or {})
         kind, _, rest = key.partition("/")
         leading = self.election.role is Role.LEADING
         late = leading and kind == "r" and value is not None and int(rest) not in self.book.rounds
@@ -126,6 +135,13 @@
         elif kind == "f" and leading:
             self.rounds.wake.set()
 
+    def _apply_options(self, stored: dict[str, Any]) -> None:
+        values = with_defaults(stored)
+        self.options = rental_options(values)
+        self.rounds.gap_s = values["round_gap_s"]
+        self.rounds.budget_s = values["round_budget_s"]
+        log.info("operators' settings: %s", stored or "all at their defaults")
+
     # ---- leadership ------------------------------------------------------------------------------
 
     def _on_role(self, role: Role) -> None:
@@ -186,6 +202,8 @@
         path = target.partition("?")[0]
         if path == HELLO_PATH:
             return await self.gossip.handle(method, body)
+        if path.startswith(ADMIN_PREFIX):
+            return await self.admin.handle(method, target, body)
         return refusal(404, "no such path")
 
     def _ready(self) -> Response:
@@ -292,6 +310,17 @@
             if self.mirror.loaded.is_set() and now - self.mirror.last_ok > 1.0:
                 await self.mirror.fresh()
             await self._judge_hearing(now)
+            if self.election.leading:
+                self._judge_zones()
+
+    def _judge_zones(self) -> None:
+        """Say plainly when a zone falls over, and when it is back."""
+        down = {z["zone"] for z in zones(self) if z["silent"] and not z["up"]}
+        for zone in sorted(down - self._quiet_zones):
+            log.warning("zone %s has gone quiet: none of its machines reports", zone)
+        for zone in sorted(self._quiet_zones - down):
+            log.info("zone %s is no longer quiet", zone)
+        self._quiet_zones = down
 
     async def _judge_hearing(self, now: float) -> None:
         """A leader that no worker reaches, while its siblings hear them, gives the lead away."""
