--- a/petrelthread/rental/keeper.py
+++ b/petrelthread/rental/keeper.py
@@ -23,6 +23,8 @@
 CATALOG_EVERY_S = 60.0
 REPEAT_S = 1.5
 REPLANS = 10
+LATE_BOOT = 1.6  # times the usual boot time: later than that, a machine is no capacity
+LOST_BOOT = 2.5  # and later than this it is given back
 
 
 class CloudOp:
@@ -267,6 +269,11 @@
                 continue
             if machine.health not in (Health.UP, Health.BOOTING):
                 continue
+            if (
+                machine.health is Health.BOOTING
+                and now - machine.rented_at > LATE_BOOT * hull.startup_s
+            ):
+                continue  # it may still come, but nobody should wait for it
             busy = machine.index in self._book.on_machine
             idle = machine.health is Health.UP and not busy
             owned.append(
@@ -332,7 +339,7 @@
                 if machine.index not in self._book.on_machine:
                     why = "drained before it is taken"
             elif machine.health is Health.BOOTING:
-                limit = max(2.5 * boot_s, boot_s + 2 * lag)
+                limit = max(LOST_BOOT * boot_s, boot_s + 2 * lag)
                 if now - machine.rented_at > limit and now - machine.known_at > boot_s:
                     why = "never came up"
             if why:
