Round gap 0.25 s

Cause: a slot that falls free waits for the round gap (0.4 s) on top of the report, with tasks of 15 s. Ruled out: write rate (no claim waited since drops keep away).

--- a/petrelthread/admin/options.py
+++ b/petrelthread/admin/options.py
@@ -27,7 +27,7 @@
     "idle_s": Knob(_RENTAL.idle_s, 0, 3600, "return idle surplus spot machines after this"),
     "dear_idle_s": Knob(_RENTAL.dear_idle_s, 0, 3600, "return idle ordinary machines after this"),
     "reserve_share": Knob(_RENTAL.reserve_share, 0, 5, "share of late urgent demand kept ready"),
-    "round_gap_s": Knob(0.4, 0.05, 10, "least gap between placement rounds"),
+    "round_gap_s": Knob(0.25, 0.05, 10, "least gap between placement rounds"),
     "round_budget_s": Knob(0.05, 0.005, 1, "time one round of decisions may take"),
 }
 
--- a/petrelthread/placement/rounds.py
+++ b/petrelthread/placement/rounds.py
@@ -98,7 +98,7 @@
         self._number = 0
         self._cursor = 0
         self.dead_keys: list[str] = []  # records that are settled, to be dropped
-        self.gap_s = 0.4
+        self.gap_s = 0.25
         self.budget_s = 0.05
         self.wake = asyncio.Event()
 
