--- a/petrelthread/rental/plan.py
+++ b/petrelthread/rental/plan.py
@@ -11,6 +11,7 @@
 
 from petrelthread.wire import RENT_MOST
 
+USUAL_RATIO = 3.0  # of an ordinary core's price to a spot core's
 REFUSED_S = 15.0
 REFUSED_MOST_S = 60.0
 
@@ -129,6 +130,19 @@
     return list(groups.values())
 
 
+def _dear_weight(shape: Demand, offers: list[Offer], owned: list[Owned]) -> float:
+    """How much dearer ordinary cores are than spot ones, against the ratio the options are for.
+
+    The dearer they are, the longer a backlog may take before they pay.
+    """
+    machines: list[Offer | Owned] = [*offers, *owned]
+    cheap = [m.price / m.cores for m in machines if m.spot and _fits(shape, m)]
+    dear = [m.price / m.cores for m in machines if not m.spot and _fits(shape, m)]
+    if not cheap or not dear:
+        return 1.0
+    return max(1.0, min(dear) / min(cheap) / USUAL_RATIO)
+
+
 def _cores_in_time(group: list[Demand], options: Options, share: float = 1.0) -> float:
     """Cores that finish each job's work, and all that is due before it, in a share of the time."""
     need = work = 0.0
@@ -163,12 +177,13 @@
     for at, (shape, group) in enumerate(shapes):
         spare = reserve_cores if shape.spot and at == len(shapes) - 1 else 0.0
         could_use = sum(d.tasks * d.cores for d in group)
+        weight = _dear_weight(shape, offers, owned)
         work = sum(d.work_s * d.cores for d in group)
         # Even a single long task wants its core.
         least = min(could_use, max(d.cores for d in group))
         cheap_target = max(least, min(could_use, work / options.spot_drain_s)) + spare
-        dear_target = max(least, min(could_use, _cores_in_time(group, options)))
-        keep = min(could_use, _cores_in_time(group, options, options.keep_share))
+        dear_target = max(least, min(could_use, _cores_in_time(group, options, weight)))
+        keep = min(could_use, _cores_in_time(group, options, weight * options.keep_share))
         keep_cheap, keep_dear = could_use + spare, max(keep, dear_target)
         wanted += keep_cheap
         have = 0.0
