--- a/petrelthread/rental/plan.py
+++ b/petrelthread/rental/plan.py
@@ -11,7 +11,7 @@
 
 from petrelthread.wire import RENT_MOST
 
-USUAL_RATIO = 3.0  # of an ordinary core's price to a spot core's
+USUAL_RATIO = 2.2  # of an ordinary core's price to a spot core's
 REFUSED_S = 15.0
 REFUSED_MOST_S = 60.0
 
