--- a/petrelthread/fleet/machine.py
+++ b/petrelthread/fleet/machine.py
@@ -27,7 +27,6 @@
 class Machine:
     __slots__ = (
         "addr",
-        "booted_at",
         "charter",
         "epoch_heard",
         "errors",
@@ -70,7 +69,6 @@
         self.heard_at = now
         self.known_at = now
         self.rented_at = now
-        self.booted_at = 0.0
         self.idle_since = now
         self.notice_s: float | None = None
         self.notice_at = 0.0
--- a/petrelthread/fleet/table.py
+++ b/petrelthread/fleet/table.py
@@ -146,7 +146,6 @@
     def _health(self, machine: Machine, report: wire.Report, now: float) -> None:
         if machine.health in (Health.BOOTING, Health.SILENT):
             if machine.health is Health.BOOTING:
-                machine.booted_at = now
                 machine.idle_since = now
             elif machine.health is Health.SILENT:
                 log.info("machine %s reports again", machine.name)
--- a/petrelthread/rental/keeper.py
+++ b/petrelthread/rental/keeper.py
@@ -64,7 +64,6 @@
         self.refusals = Refusals()
         self.hulls: dict[int, wire.Hull] = {}
         self.ops: dict[str, CloudOp] = {}
-        self.last_plan: Plan | None = None
         self._serial = 0
         self._listed_at = float("-inf")
         self._catalog_at = float("-inf")
@@ -138,7 +137,6 @@
         if not self.hulls or not self._leading():
             return
         plan = self._plan(now)
-        self.last_plan = plan
         for machine in self._fleet.machines.values():
             machine.retiring = machine.index in plan.retiring
         rents = plan.rents
--- a/petrelthread/rental/plan.py
+++ b/petrelthread/rental/plan.py
@@ -79,8 +79,6 @@
     rents: list[Rent]
     returns: list[int]
     retiring: set[int]  # surplus: they finish what they have and get nothing new
-    wanted_cores: float
-    owned_cores: float
 
 
 class Refusals:
@@ -167,7 +165,6 @@
     group needs is surplus: idle, it is to be returned, busy, it gets nothing new.
     """
     rents: list[Rent] = []
-    wanted = 0.0
     left = sorted(
         owned, key=lambda o: (o.price / max(o.cores, 1e-9), -o.tasks, o.idle_s or 0.0, o.machine)
     )
@@ -185,7 +182,6 @@
         dear_target = max(least, min(could_use, _cores_in_time(group, options, weight)))
         keep = min(could_use, _cores_in_time(group, options, weight * options.keep_share))
         keep_cheap, keep_dear = could_use + spare, max(keep, dear_target)
-        wanted += keep_cheap
         have = 0.0
         for machine in list(left):
             cores = _fits(shape, machine) * shape.cores
@@ -216,14 +212,13 @@
             have += count * cores
     if not shapes:
         left = _beyond(left, reserve_cores)
-        wanted = reserve_cores
     retiring = {machine.machine for machine in left}
     returns = []
     for machine in left:
         patience = options.idle_s if machine.spot else options.dear_idle_s
         if machine.idle_s is not None and machine.idle_s >= patience:
             returns.append(machine.machine)
-    return Plan(rents, returns, retiring, wanted, sum(o.cores for o in owned))
+    return Plan(rents, returns, retiring)
 
 
 def _beyond(machines: list[Owned], reserve_cores: float) -> list[Owned]:
--- a/petrelthread/store/mirror.py
+++ b/petrelthread/store/mirror.py
@@ -31,7 +31,6 @@
         self.last_ok = float("-inf")
         self._round: asyncio.Task[bool] | None = None
         self._next_round: asyncio.Task[bool] | None = None
-        self._reload: asyncio.Task[None] | None = None
 
     async def load(self) -> None:
         """Read all keys. Changes during the reading come again by the watch from its start."""
--- a/petrelthread/wire/__init__.py
+++ b/petrelthread/wire/__init__.py
@@ -24,7 +24,7 @@
 SHAPES = (ARRAY, GANG, SERVICE)
 RANKS = {"prod": 3, "high": 2, "standard": 1, "low": 0}
 FETCHING, GATHERING, FLUSHING, ENDED = "fetching", "gathering", "flushing", "ended"
-CAUSE_DONE, CAUSE_STOPPED, CAUSE_ERROR = "done", "stopped", "error"
+CAUSE_DONE, CAUSE_ERROR = "done", "error"
 CAUSE_FULL, CAUSE_IN_USE, CAUSE_UNKNOWN = "full", "in_use", "unknown"
 
 MAX_BODY = 64 * 1024
@@ -203,7 +203,7 @@
 RENT_MOST = 50
 RETURN_MOST = 100
 LIST_MOST = 500
-HOST_FAILED, HOST_BOOTING = "failed", "starting"
+HOST_FAILED = "failed"
 
 
 def rent_request(charter: str, hull: str, zone: str, spot: bool, count: int) -> dict[str, Any]:
