--- a/petrelthread/rental/test_plan.py
+++ b/petrelthread/rental/test_plan.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from petrelthread.rental import Demand, Offer, Options, Owned, Refusals, plan
+from petrelthread.store import Budget
+from tests.virtual import play
+from tests.world import NODES, World, job
 
 SPOT = Offer(0, 0, True, 4.0, 0.0, 8.0, 0.1, 30.0)
 DEAR = Offer(0, 0, False, 4.0, 0.0, 8.0, 0.3, 30.0)
@@ -61,3 +66,35 @@
     assert refusals.open(0, 0, True, 20.0)
     refusals.refused(0, 0, True, 20.0)
     assert not refusals.open(0, 0, True, 45.0)
+
+
+def test_returned_and_late_machines_are_no_capacity_for_the_next_leader() -> None:
+    # They came back from their rentals' records as booting capacity, and nothing was rented.
+    async def scenario() -> None:
+        world = World()
+        await world.submit(job("wk-000001", 4, guess_s=60.0))
+        await world.running(4)
+        first = await world.led()
+        lost = next(iter(world.cloud.machines.values()))["worker"]
+        world.net.cut |= {frozenset((lost.name, n)) for n in NODES}
+        while not lost.dead:
+            await asyncio.sleep(0.5)
+        await asyncio.sleep(3.0)
+        recorded = [v["m"] for k, (v, _, _) in world.store.keys.items() if k.startswith("pt/c/")]
+        assert recorded
+        assert all(lost.name not in names for names in recorded)
+        world.crash(first)
+        await asyncio.sleep(8.0)
+        new = world.nodes[await world.led()]
+        booting = [m for m in new.fleet.machines.values() if m.name == lost.name]
+        assert not booting
+
+    play(scenario())
+
+
+def test_clean_up_leaves_half_of_the_write_burst() -> None:
+    # A round once waited 3 s for its write behind drops of settled records.
+    budget = Budget(8.0, 8.0)
+    assert budget.spare(0.0, 0.5) == 4
+    play(budget.take(5.0))
+    assert budget.spare(100.0, 0.5) == 0
