Count tasks made durable meanwhile once: a job was called done too soon

Ruled out: workers' reports (each task's end was reported once). Fix: what is durable is taken out before counting, and a take-over starts with none. Test: test_tasks_made_durable_by_another_leader_count_once.

--- a/petrelthread/fleet/table.py
+++ b/petrelthread/fleet/table.py
@@ -56,6 +56,7 @@
         """Everything known before is hearsay now, until workers have reported again."""
         self.epoch = epoch
         self.elected_at = now
+        self.finished.clear()  # workers report again what is not durable
         for index in self.book.on_machine:
             self.machine(self.book.names.machines.name(index), now)
         for machine in list(self.machines.values()):
--- a/petrelthread/placement/rounds.py
+++ b/petrelthread/placement/rounds.py
@@ -387,7 +387,15 @@
             if job.final is not None:
                 del self._fleet.finished[index]
                 self._release_ended(job)
-            elif job.done + len(tasks) >= job.tasks:
+                continue
+            # What another leader, or a claim of ours that we had given up, made durable meanwhile
+            # counts as done already. Counted twice, it would make the job done too soon.
+            tasks = [task for task in tasks if job.states[task] != 2]
+            if not tasks and job.done < job.tasks:
+                del self._fleet.finished[index]
+                continue
+            self._fleet.finished[index] = tasks
+            if job.done + len(tasks) >= job.tasks:
                 completed.append(job)
             else:
                 partly[job.id] = tasks
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -366,3 +366,23 @@
     assert recorded == set(world.judge.started_at)
     charters = {key[len("pt/c/") :] for key, _ in world.store.puts if key.startswith("pt/c/")}
     assert set(world.cloud.charters) <= charters
+
+
+def test_tasks_made_durable_by_another_leader_count_once() -> None:
+    """A leader kept what it had not written, lost the lead, came back, and counted it twice."""
+
+    async def scenario(world: World) -> None:
+        world.run_s = 15.0
+        await world.submit(job("wk-000001", 4, guess_s=60.0))
+        await world.running(2)
+        node = world.nodes[await world.led()]
+        found = node.book.by_id["wk-000001"]
+        node.book.apply_done(1, [["wk-000001", [0, 1]]])
+        world.judge.completed |= {"wk-000001/0", "wk-000001/1"}
+        node.fleet.finished[found.index] = [0, 1]
+        node.rounds.wake.set()
+        await asyncio.sleep(1.0)
+        assert found.final is None
+        await world.until_over(90.0)
+
+    run(scenario)
