Ask the next 50 of the cheap offer before renting dear machines

Ruled out: the dear target itself (892 cores of 1600 spot ones). One plan asks an offer that answered in full several times; a dearer offer is asked only after a short answer or a refusal.

--- a/petrelthread/rental/keeper.py
+++ b/petrelthread/rental/keeper.py
@@ -73,6 +73,8 @@
             for o in settings.cluster.objectives
             if o.kind == "wait"
         }
+        # In one plan: as many as the cloud takes in a burst.
+        self._calls = max(2, int(2 * settings.cluster.cloud.rps))
         self.wake = asyncio.Event()
 
     # ---- catalogue ---------------------------------------------------------------------------
@@ -305,11 +307,12 @@
                                 hull.ram_gb,
                                 price,
                                 hull.startup_s,
+                                self.refusals.deep(index, zone, spot),
                             )
                         )
         options = self._options()
         reserve = self._reserve(now) * options.reserve_share
-        return plan(self._demands(now), owned, offers, reserve, options, 6)
+        return plan(self._demands(now), owned, offers, reserve, options, self._calls)
 
     # ---- return -------------------------------------------------------------------------------
 
--- a/petrelthread/rental/plan.py
+++ b/petrelthread/rental/plan.py
@@ -39,6 +39,7 @@
     ram_gb: float
     price: float  # per hour, as charged now
     startup_s: float
+    deep: bool = False  # its last answer gave all that was asked: it may have more than one call
 
 
 class Demand(NamedTuple):
@@ -82,18 +83,25 @@
 
 
 class Refusals:
-    """Types, zones and kinds that the cloud refused lately, each with its own back-off."""
+    """What the cloud answered for types, zones and kinds; each has its own back-off if refused."""
 
     def __init__(self) -> None:
         self._until: dict[tuple[int, int, bool], tuple[float, float]] = {}
+        self._deep: set[tuple[int, int, bool]] = set()
 
     def refused(self, type: int, zone: int, spot: bool, now: float) -> None:
         _, last = self._until.get((type, zone, spot), (0.0, REFUSED_S / 2))
         pause = min(REFUSED_MOST_S, last * 2)
         self._until[type, zone, spot] = (now + pause, pause)
+        self._deep.discard((type, zone, spot))
 
     def granted(self, type: int, zone: int, spot: bool) -> None:
         self._until.pop((type, zone, spot), None)
+        self._deep.add((type, zone, spot))
+
+    def deep(self, type: int, zone: int, spot: bool) -> bool:
+        """The last answer gave all that was asked."""
+        return (type, zone, spot) in self._deep
 
     def open(self, type: int, zone: int, spot: bool, now: float) -> bool:
         return now >= self._until.get((type, zone, spot), (0.0, 0.0))[0]
@@ -191,6 +199,7 @@
                 have += cores
                 left.remove(machine)
         priced = []
+        capped = False
         for offer in offers:
             cores = _fits(shape, offer) * shape.cores
             if cores > 0:
@@ -200,16 +209,22 @@
             lacking = (dear_target if dear else cheap_target) - have
             if lacking <= 1e-6 or len(rents) >= calls:
                 continue
-            if dear and lacking < options.dear_fill * cores:
+            if dear and (capped or lacking < options.dear_fill * cores):
+                # A call gives 50 machines at most. What the next call to a cheaper offer may give
+                # is no reason for a dearer one: only its refusal or short answer is.
                 continue
             if cores > 2 * lacking:
                 # Much larger than needed: left to a smaller one, if that costs less in all.
                 smaller = [p for p, o, c in priced if c < cores and p * c < offer.price]
                 if smaller:
                     continue
-            count = min(math.ceil(lacking / cores - 1e-6), RENT_MOST)
-            rents.append(Rent(offer.type, offer.zone, offer.spot, count))
-            have += count * cores
+            count = math.ceil(lacking / cores - 1e-6)
+            most = min(count, RENT_MOST * (calls - len(rents) if offer.deep else 1))
+            capped = capped or count > most
+            have += most * cores
+            while most > 0:
+                rents.append(Rent(offer.type, offer.zone, offer.spot, min(most, RENT_MOST)))
+                most -= RENT_MOST
     if not shapes:
         left = _beyond(left, reserve_cores)
     retiring = {machine.machine for machine in left}
--- a/petrelthread/rental/test_plan.py
+++ b/petrelthread/rental/test_plan.py
@@ -36,6 +36,20 @@
     assert sum(r.machines for r in later.rents) < sum(r.machines for r in got.rents)
 
 
+def test_dear_machines_only_after_a_short_answer_of_the_cheap_offer() -> None:
+    # A call gives 50 machines at most. The rest of a large backlog once went to ordinary machines
+    # at three times the price, with 300 spot ones still to be had.
+    late = [demand(700, 14000.0, due_s=100.0)]
+    first = plan(late, [], [DEAR, SPOT], 0.0, Options(), 8)
+    assert [(r.spot, r.machines) for r in first.rents] == [(True, 50)]
+    deep = plan(late, owned(50), [DEAR, SPOT._replace(deep=True)], 0.0, Options(), 8)
+    assert {r.spot for r in deep.rents} == {True}
+    assert sum(r.machines for r in deep.rents) == 234 - 50
+    assert max(r.machines for r in deep.rents) == 50
+    short = plan(late, owned(50), [DEAR], 0.0, Options(), 8)
+    assert any(not r.spot for r in short.rents)
+
+
 def test_a_big_dear_machine_needs_half_its_cores_lacking() -> None:
     few = plan([demand(10, 400.0, 60.0)], [], [BIG_DEAR], 0.0, Options(), 9)
     assert not few.rents
