Rent nothing in a zone that is cut off

A zone is down when no machine of it reports and no controller in it is heard, and stays so until one is. Ruled out: the silent machines' quick return itself (their leases end within seconds anyway).

--- a/petrelthread/admin/views.py
+++ b/petrelthread/admin/views.py
@@ -71,7 +71,9 @@
         count = {health: sum(m.health is health for m in here) for health in Health}
         up, silent = count[Health.UP] + count[Health.DRAINING], count[Health.SILENT]
         says = "serving" if up else "no machines"
-        if silent and not up:
+        if index in node.zone_watch.down:
+            says = "DOWN: cut off, nothing in it is heard; nothing is rented there"
+        elif silent and not up:
             says = "DOWN: none of its machines reports"
         elif silent:
             says = f"{silent} of {up + silent} machines silent"
--- a/petrelthread/controller.py
+++ b/petrelthread/controller.py
@@ -13,8 +13,7 @@
 from petrelthread.admin import Admin, with_defaults
 from petrelthread.admin.api import PREFIX as ADMIN_PREFIX
 from petrelthread.admin.options import rental_options
-from petrelthread.admin.views import zones
-from petrelthread.fleet import Dispatch, Fleet
+from petrelthread.fleet import Dispatch, Fleet, ZoneWatch
 from petrelthread.http import Response, answer
 from petrelthread.http.server import refusal
 from petrelthread.intake import Intake
@@ -80,6 +79,7 @@
         cloud_rate = cluster.cloud.rps * 0.85
         cloud = CloudClient(request, settings.endpoints.cloud, Budget(cloud_rate, 2 * cloud_rate))
         self.options = Options()
+        self.zone_watch = ZoneWatch(workers.report_s)
         self.keeper = Keeper(
             settings,
             self.book,
@@ -89,6 +89,7 @@
             self.rounds,
             lambda: self.options,
             lambda: self.election.leading,
+            self.zone_watch.down,
         )
         self.fleet.on_change = self.rounds.wake.set
         self.fleet.on_class_time = estimates.learn
@@ -96,7 +97,6 @@
         self.intake = Intake(settings, self.book, self.mirror, state, self.keeper.catalog)
         self.gossip = Gossip(settings.siblings, request, self._hello, self._on_hello)
         self.admin = Admin(self, request)
-        self._quiet_zones: set[str] = set()
         self._reports: list[float] = []
         self._silent_s = 2.5 * workers.report_s + 4.0
 
@@ -155,6 +155,7 @@
         self.fleet.take_over(epoch, now)
         self.rounds.take_over(epoch)
         self.keeper.take_over(now)
+        self.zone_watch.clear()
         self._reports.clear()
         unknown = sum(len(there) for there in self.book.on_machine.values())
         log.info(
@@ -311,16 +312,27 @@
                 await self.mirror.fresh()
             await self._judge_hearing(now)
             if self.election.leading:
-                self._judge_zones()
+                self._judge_zones(now)
 
-    def _judge_zones(self) -> None:
+    def _judge_zones(self, now: float) -> None:
         """Say plainly when a zone falls over, and when it is back."""
-        down = {z["zone"] for z in zones(self) if z["silent"] and not z["up"]}
-        for zone in sorted(down - self._quiet_zones):
-            log.warning("zone %s has gone quiet: none of its machines reports", zone)
-        for zone in sorted(self._quiet_zones - down):
-            log.info("zone %s is no longer quiet", zone)
-        self._quiet_zones = down
+        names = self.book.names.zones
+        nodes = {names.index(zone): heard for zone, heard in self._zones_heard().items()}
+        machines = self.fleet.machines.values()
+        fallen, back = self.zone_watch.judge(machines, nodes, self.election.elected_at, now)
+        for zone in sorted(fallen):
+            log.warning("zone %s is cut off: nothing in it is heard", names.name(zone))
+        for zone in sorted(back):
+            log.info("zone %s is heard again", names.name(zone))
+
+    def _zones_heard(self) -> dict[str, bool]:
+        """For each zone with controllers, whether one of them was heard lately."""
+        fresh = {hello.node for hello in self.gossip.fresh(3.0)}
+        heard = {self.settings.zone: True} if self.settings.zone else {}
+        for sibling in self.settings.siblings:
+            if sibling.zone:
+                heard[sibling.zone] = heard.get(sibling.zone, False) or sibling.host_name in fresh
+        return heard
 
     async def _judge_hearing(self, now: float) -> None:
         """A leader that no worker reaches, while its siblings hear them, gives the lead away."""
--- a/petrelthread/fleet/__init__.py
+++ b/petrelthread/fleet/__init__.py
@@ -3,5 +3,6 @@
 from petrelthread.fleet.dispatch import Dispatch
 from petrelthread.fleet.machine import Health, Machine
 from petrelthread.fleet.table import Fleet
+from petrelthread.fleet.zones import ZoneWatch
 
-__all__ = ["Dispatch", "Fleet", "Health", "Machine"]
+__all__ = ["Dispatch", "Fleet", "Health", "Machine", "ZoneWatch"]
--- a/petrelthread/rental/keeper.py
+++ b/petrelthread/rental/keeper.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any
 
 from petrelthread import wire
@@ -52,6 +52,7 @@
         rounds: Rounds,
         options: Callable[[], Options],
         leading: Callable[[], bool],
+        zones_down: Collection[int] = (),
     ) -> None:
         self._settings = settings
         self._book = book
@@ -61,6 +62,7 @@
         self._rounds = rounds
         self._options = options
         self._leading = leading
+        self._zones_down = zones_down
         self.refusals = Refusals()
         self.hulls: dict[int, wire.Hull] = {}
         self.ops: dict[str, CloudOp] = {}
@@ -274,6 +276,8 @@
                 and now - machine.rented_at > LATE_BOOT * hull.startup_s
             ):
                 continue  # it may still come, but nobody should wait for it
+            if machine.health is Health.BOOTING and machine.zone in self._zones_down:
+                continue
             busy = machine.index in self._book.on_machine
             idle = machine.health is Health.UP and not busy
             owned.append(
@@ -294,6 +298,8 @@
         for index, hull in self.hulls.items():
             for zone_name in hull.roosts:
                 zone = self._book.names.zones.index(zone_name)
+                if zone in self._zones_down:
+                    continue  # what boots there is paid for and cannot be reached
                 for spot in (True, False):
                     price = hull.low_price if spot else hull.hourly
                     if price > 0 and self.refusals.open(index, zone, spot, now):
