Ask again for spot capacity that has just been freed

A machine of ours that has gone clears its offer's back-off, which is 10 to 20 s now. Ruled out: the cloud's call budget (a refused offer costs 1 call in 20 s of 51).

--- a/petrelthread/rental/keeper.py
+++ b/petrelthread/rental/keeper.py
@@ -399,6 +399,7 @@
                 if machine.health is not Health.RETURNING:
                     machine.move(Health.RETURNING)
                 machine.move(Health.GONE)
+                self.refusals.freed(machine.type, machine.zone, machine.spot)
         await self._strike_out(op, set(names))
 
     async def _strike_out(self, op: CloudOp, names: set[str]) -> None:
--- a/petrelthread/rental/plan.py
+++ b/petrelthread/rental/plan.py
@@ -12,8 +12,8 @@
 from petrelthread.wire import RENT_MOST
 
 USUAL_RATIO = 2.2  # of an ordinary core's price to a spot core's
-REFUSED_S = 15.0
-REFUSED_MOST_S = 60.0
+REFUSED_S = 10.0
+REFUSED_MOST_S = 20.0
 
 
 class Options(NamedTuple):
@@ -96,9 +96,13 @@
         self._deep.discard((type, zone, spot))
 
     def granted(self, type: int, zone: int, spot: bool) -> None:
-        self._until.pop((type, zone, spot), None)
+        self.freed(type, zone, spot)
         self._deep.add((type, zone, spot))
 
+    def freed(self, type: int, zone: int, spot: bool) -> None:
+        """A machine of ours went: there may be one to be had again."""
+        self._until.pop((type, zone, spot), None)
+
     def deep(self, type: int, zone: int, spot: bool) -> bool:
         """The last answer gave all that was asked."""
         return (type, zone, spot) in self._deep
