Judge the guarantee by the whole job; stop nothing for a job that still gets room

Cause: a job counted as within its team's guarantee as soon as its unfinished tasks fitted; large jobs of standard rank passed ahead of plans, and others' work was stopped for their last tasks. PROTOCOL counts the whole job. Patience runs from the job's last start.

--- a/petrelthread/ledger/book.py
+++ b/petrelthread/ledger/book.py
@@ -94,6 +94,7 @@
         "image",
         "index",
         "jobclass",
+        "last_start_at",
         "live",
         "mark_s",
         "not_before",
@@ -165,6 +166,7 @@
         self.backoff_s = 0.0
         self.not_before = 0.0
         self.first_start_at = 0.0
+        self.last_start_at = 0.0  # when a task of it was last placed
 
     @staticmethod
     def encode(spec: wire.JobSpec, now: float) -> list[Any]:
--- a/petrelthread/placement/order.py
+++ b/petrelthread/placement/order.py
@@ -16,8 +16,8 @@
     accepted_at: float
     goals: tuple[float, ...]  # when it should be done: the sooner, then what still counts after it
     path_s: float  # how long it would still take if its team's limit alone held it back
-    cores_left: float  # of all its unfinished tasks
-    accelerators_left: float
+    cores_asked: float  # by the whole job, finished tasks included
+    accelerators_asked: float
 
 
 class Turn(NamedTuple):
@@ -29,13 +29,17 @@
 def within_guarantee(
     jobs: list[Standing], guarantees: list[tuple[float, float]]
 ) -> dict[int, bool]:
-    """A job lies within its team's guarantee if it fits along with the team's earlier jobs."""
+    """A job lies within its team's guarantee if it fits along with the team's earlier jobs.
+
+    The whole job counts, as PROTOCOL has it: one that shrank into the guarantee as its tasks
+    finished would stop others' work for its last few.
+    """
     used = [(0.0, 0.0)] * len(guarantees)
     inside: dict[int, bool] = {}
     for standing in sorted(jobs, key=lambda s: (s.accepted_at, s.job)):
         cores, accelerators = used[standing.team]
-        cores += standing.cores_left
-        accelerators += standing.accelerators_left
+        cores += standing.cores_asked
+        accelerators += standing.accelerators_asked
         most_cores, most_accelerators = guarantees[standing.team]
         fits = cores <= most_cores + 1e-9 and accelerators <= most_accelerators + 1e-9
         inside[standing.job] = fits
--- a/petrelthread/placement/rounds.py
+++ b/petrelthread/placement/rounds.py
@@ -189,7 +189,6 @@
     def turns(self) -> list[Turn]:
         standings = []
         for job in self._book.open.values():
-            left = job.tasks - job.done
             standings.append(
                 Standing(
                     job.index,
@@ -198,8 +197,8 @@
                     job.accepted_at,
                     self.goals(job),
                     self.path_s(job),
-                    left * job.cores,
-                    left * job.accelerators,
+                    job.tasks * job.cores,
+                    job.tasks * job.accelerators,
                 )
             )
         return order(standings, self._guarantees, time.time())
@@ -306,7 +305,8 @@
             return []  # let the room made so far be used first
         for want in wants:
             job = self._book.jobs[want.job]
-            waiting_s = time.time() - job.accepted_at
+            # A job that still gets room as it falls free does not need others to be stopped.
+            waiting_s = time.time() - max(job.accepted_at, job.last_start_at)
             lacking = min(want.pending - placed.get(want.job, 0), teams[want.team].most(want))
             patience_s = self._patience.get(job.jobclass, PATIENCE_S)
             if lacking <= 0 or waiting_s < patience_s or want.same_place or want.scatter:
@@ -462,6 +462,7 @@
             launched += book.apply_round(number, record, Op.DISPATCHING)
         for attempt in launched:
             attempt.at = now
+            attempt.job.last_start_at = time.time()
             if log.isEnabledFor(logging.DEBUG):
                 machine = self._fleet.machines[attempt.machine]
                 cached = attempt.job.image in machine.images
--- a/petrelthread/placement/test_place.py
+++ b/petrelthread/placement/test_place.py
@@ -149,7 +149,7 @@
         standing(0, 0, 1, 10.0, [500.0], 5.0),
         standing(1, 1, 2, 11.0, [400.0], 5.0),
         standing(2, 2, 2, 12.0, [300.0], 5.0),
-        standing(3, 3, 0, 13.0, [], 5.0)._replace(cores_left=4.0),  # lowest rank, but guaranteed
+        standing(3, 3, 0, 13.0, [], 5.0)._replace(cores_asked=4.0),  # lowest rank, but guaranteed
         standing(4, 4, 2, 1.0, [600.0], 350.0),  # long: has to begin by 250
         standing(5, 5, 2, 1.0, [30.0], 90.0),  # late anyway
     ]
@@ -171,9 +171,9 @@
 
 def test_guarantee_counts_the_teams_earlier_jobs() -> None:
     jobs = [
-        standing(0, 0, 1, 1.0, [], 1.0)._replace(cores_left=6.0),
-        standing(1, 0, 1, 2.0, [], 1.0)._replace(cores_left=4.0),  # not along with the first
-        standing(2, 0, 1, 3.0, [], 1.0)._replace(cores_left=2.0),
+        standing(0, 0, 1, 1.0, [], 1.0)._replace(cores_asked=6.0),
+        standing(1, 0, 1, 2.0, [], 1.0)._replace(cores_asked=4.0),  # not along with the first
+        standing(2, 0, 1, 3.0, [], 1.0)._replace(cores_asked=2.0),
     ]
     got = {turn.job: turn.guaranteed for turn in order(jobs, [(8.0, 0.0)], 0.0)}
     assert got == {0: True, 1: False, 2: True}
