Order by what all cores can finish in time, the largest giving way

A narrow job's path was taken as its share of the team's limit: 33 tasks of 139 s counted as 18 s. Moore's rule now runs over the cores of all machines as well (a simulated list schedule), counts the longest task's tail as learned, and a job that gave way begins within 150 s, one task first.

--- a/petrelthread/placement/order.py
+++ b/petrelthread/placement/order.py
@@ -1,10 +1,18 @@
-"""Who comes first: guarantees, then rank, then deadline."""
+"""Who comes first: guarantees, then rank, then deadline.
+
+Among jobs of one rank, two things make them take turns: the limit of their team and, when more is
+asked than there are machines, the cores of all. Most of them are in time if the longest gives way
+whenever a goal cannot be kept (Moore's rule); what gives way is tried for its next goal.
+"""
 
 from __future__ import annotations
 
+import heapq
+import math
 from typing import NamedTuple
 
 LATE_S = 1e6  # what is late anyway comes after all that is not
+BEGIN_S = 150.0  # a job has begun by then, however late: users expect it within four minutes
 
 
 class Standing(NamedTuple):
@@ -18,12 +26,26 @@
     path_s: float  # how long it would still take if its team's limit alone held it back
     cores_asked: float  # by the whole job, finished tasks included
     accelerators_asked: float
+    run_s: float = 0.0  # of one task
+    tail_s: float = 0.0  # how much longer the longest of many tasks may take
+    width: float = 0.0  # cores that it can use at once
+    work_s: float = 0.0  # core seconds left in all its tasks
+    begun: bool = False
+
+    @property
+    def least_s(self) -> float:
+        """It cannot be done sooner."""
+        return max(self.path_s, self.run_s) + self.tail_s
 
 
 class Turn(NamedTuple):
     job: int
     guaranteed: bool
     due_at: float  # the goal it is meant to reach
+    overdue: bool = False  # should have begun: one task of it goes before all else
+
+
+Kept = list[tuple[float, Standing]]  # by goal
 
 
 def within_guarantee(
@@ -48,66 +70,127 @@
     return inside
 
 
-def reachable(jobs: list[Standing], begin: float) -> tuple[dict[int, tuple[float, float]], float]:
-    """Which of its goals each job of one team and rank is meant to reach: (due, slack).
-
-    The team's limit makes its jobs take turns, so most of them are in time if the longest gives way
-    whenever a goal cannot be kept (Moore's rule); what gives way is tried for its next goal. Also
-    returns when the last of them would end.
-    """
-    out: dict[int, tuple[float, float]] = {}
-    left = list(jobs)
+class Queue:
+    """When the cores that all jobs share, and those of each team's limit, fall free."""
+
+    def __init__(self, cores: float, now: float) -> None:
+        self.now = now
+        self.free: list[tuple[float, float]] = [(now, cores)]  # a heap: from when, how many cores
+        self.ends: dict[int, float] = {}
+
+    def copy(self) -> Queue:
+        other = Queue(0.0, self.now)
+        other.free, other.ends = list(self.free), dict(self.ends)
+        return other
+
+    def add(self, standing: Standing) -> float:
+        """Serve the job next, on cores as they fall free; when it is done for all that."""
+        end = self.now
+        lacking = standing.width
+        last_s = max(standing.run_s, standing.work_s / lacking) if lacking > 0 else 0.0
+        while lacking > 1e-9:
+            at, cores = heapq.heappop(self.free)
+            taken = min(cores, lacking)
+            if cores > taken:
+                heapq.heappush(self.free, (at, cores - taken))
+            heapq.heappush(self.free, (at + last_s, taken))
+            lacking -= taken
+            end = at + last_s
+        mates = self.ends[standing.team] = self.ends.get(standing.team, self.now) + standing.path_s
+        return max(end, mates) + standing.tail_s
+
+
+def first_late(kept: Kept, queue: Queue, due: float = -math.inf) -> Standing | None:
+    """The first that is late if all of them are served in this order, of those due later."""
+    queue = queue.copy()
+    for goal, standing in kept:
+        if queue.add(standing) > goal >= due:
+            return standing
+    return None
+
+
+def most_in_time(candidates: Kept, queue: Queue) -> Kept:
+    """Moore's rule: in order of goals, the largest gives way whenever one would be late."""
+    kept: Kept = []
+    ahead = queue.copy()  # with all that is kept
+    for due, standing in candidates:
+        kept.append((due, standing))
+        if ahead.add(standing) <= due:
+            continue
+        mates = [entry for entry in kept if entry[1].team == standing.team]
+        mates_end = queue.now + sum(mate.path_s for _, mate in mates) + standing.tail_s
+        if mates_end > due:
+            worst = max(mates, key=lambda entry: (entry[1].path_s, entry[1].job))
+        else:
+            worst = max(kept, key=lambda entry: (entry[1].work_s, entry[1].job))
+        without = [entry for entry in kept if entry is not worst]
+        if worst[1] is not standing and first_late(without, queue, due) is not None:
+            # Without the other it is late all the same: then it gives way itself.
+            without = kept[:-1]
+        kept = without
+        ahead = queue.copy()
+        for _, other in kept:
+            ahead.add(other)
+    return kept
+
+
+def reachable(jobs: list[Standing], queue: Queue) -> dict[int, float]:
+    """Which of its goals each job of one group is meant to reach. The queue goes on behind them."""
+    kept: Kept = []
+    left = jobs
     for level in range(max((len(s.goals) for s in jobs), default=0)):
-        kept: list[Standing] = []
-        end = begin
-        for standing in sorted(
-            (s for s in left if len(s.goals) > level), key=lambda s: (s.goals[level], s.job)
-        ):
-            kept.append(standing)
-            end += standing.path_s
-            if end > standing.goals[level]:
-                longest = max(kept, key=lambda s: (s.path_s, s.job))
-                kept.remove(longest)
-                end -= longest.path_s
-        for standing in kept:
-            begin += standing.path_s
-            out[standing.job] = (standing.goals[level], standing.goals[level] - begin)
-        left = [s for s in left if s.job not in out]
+        candidates = [
+            (s.goals[level], s)
+            for s in left
+            if len(s.goals) > level and queue.now + s.least_s <= s.goals[level]
+        ]
+        if level == 0:
+            candidates.sort(key=lambda entry: (entry[0], entry[1].job))
+            kept = most_in_time(candidates, queue)
+        else:
+            # As many as fit in between without making one late that is kept, the smallest first.
+            candidates.sort(key=lambda entry: (entry[1].work_s, entry[1].job))
+            for due, standing in candidates:
+                both = sorted([*kept, (due, standing)], key=lambda e: (e[0], e[1].job))
+                if first_late(both, queue, due) is None:
+                    kept = both
+        reached = {standing.job for _, standing in kept}
+        left = [s for s in jobs if s.job not in reached]
+    for _, standing in kept:
+        queue.add(standing)
     for standing in left:
-        begin += standing.path_s
-    return out, begin
+        queue.add(standing)
+    return {standing.job: due for due, standing in kept}
 
 
-def order(jobs: list[Standing], guarantees: list[tuple[float, float]], now: float) -> list[Turn]:
-    """Jobs in the order in which they are served.
+def order(
+    jobs: list[Standing],
+    guarantees: list[tuple[float, float]],
+    now: float,
+    cores: float = math.inf,
+) -> list[Turn]:
+    """Jobs in the order in which they are served; ``cores``: of all machines together.
 
-    Within a rank, by the slack left until the goal that the job can reach at its team's pace. Jobs
-    that are late anyway come last, those of the team with most left to do first: it ends last.
+    Within a rank, by when a job has to begin to reach the goal that it can reach. Jobs that are
+    late anyway come last, the longest first: it ends last. But none waits past BEGIN_S to begin.
     """
     inside = within_guarantee(jobs, guarantees)
-    teams: dict[int, list[Standing]] = {}
+    groups: dict[tuple[bool, int], list[Standing]] = {}
     for standing in jobs:
-        teams.setdefault(standing.team, []).append(standing)
-    goals: dict[int, tuple[float, float]] = {}
-    for members in teams.values():
-        end = now
-        late: list[Standing] = []
-        for rank in sorted({s.rank for s in members}, reverse=True):
-            level = [s for s in members if s.rank == rank]
-            reached, end = reachable(level, end)
-            goals.update(reached)
-            late += [s for s in level if s.job not in reached]
-        for standing in late:
-            goals[standing.job] = (now + LATE_S, LATE_S - (end - now))
-
-    def key(standing: Standing) -> tuple[bool, int, float, float, int]:
-        slack = goals[standing.job][1]
-        return (
-            not inside[standing.job],
-            -standing.rank,
-            slack,
-            standing.accepted_at,
-            standing.job,
-        )
-
-    return [Turn(s.job, inside[s.job], goals[s.job][0]) for s in sorted(jobs, key=key)]
+        groups.setdefault((not inside[standing.job], -standing.rank), []).append(standing)
+    queue = Queue(cores, now)
+    turns: list[Turn] = []
+    for _, members in sorted(groups.items()):
+        goals = reachable(members, queue)
+        begins: list[tuple[float, float, int, Standing]] = []
+        for s in members:
+            due = goals.get(s.job, now + LATE_S)
+            begin = due - s.least_s
+            if not s.begun:
+                begin = min(begin, s.accepted_at + BEGIN_S)
+            begins.append((begin, s.accepted_at, s.job, s))
+        for *_, s in sorted(begins):
+            overdue = not s.begun and now > s.accepted_at + BEGIN_S
+            due = goals.get(s.job, now + LATE_S)
+            turns.append(Turn(s.job, inside[s.job], due, overdue))
+    return turns
--- a/petrelthread/placement/rounds.py
+++ b/petrelthread/placement/rounds.py
@@ -32,6 +32,8 @@
 
 PATIENCE_S = 10.0  # how long a job waits before others are stopped for it,
 PATIENCE_SHARE = 0.2  # or this share of the time in which its class should start
+USUAL_SPREAD = 0.3  # of run times against estimates, until some are seen
+AT_WORK = 0.85  # of all cores: the rest fetch images, wait for a round or fit no task
 STOP_S = 5.0  # a stop that takes longer than this holds up no other
 
 Placement = tuple[Job, int, Machine]  # job, task, machine
@@ -42,6 +44,7 @@
 
     def __init__(self) -> None:
         self._ratio: dict[int, float] = {}
+        self._variance: dict[int, float] = {}
         self._seen: dict[int, int] = {}
 
     def learn(self, job: Job, ran_s: float) -> None:
@@ -51,10 +54,19 @@
         seen = self._seen[job.jobclass] = min(50, self._seen.get(job.jobclass, 0) + 1)
         old = self._ratio.get(job.jobclass, 1.0)
         self._ratio[job.jobclass] = old + (ratio - old) / (seen + 2)
+        variance = self._variance.get(job.jobclass, USUAL_SPREAD**2)
+        self._variance[job.jobclass] = variance + ((ratio - old) ** 2 - variance) / (seen + 2)
 
     def run_s(self, job: Job) -> float:
         return max(0.5, job.guess_s * self._ratio.get(job.jobclass, 1.0))
 
+    def tail_s(self, job: Job) -> float:
+        """How much longer the last of a job's tasks is likely to run. One alone has no tail."""
+        if job.tasks < 2:
+            return 0.0
+        variance = self._variance.get(job.jobclass, USUAL_SPREAD**2)
+        return min(job.guess_s, 1.5 * math.sqrt(variance) * job.guess_s)
+
 
 class Rounds:
     def __init__(
@@ -186,9 +198,22 @@
             share = max(share, left * job.accelerators / team.gpus_max)
         return run_s * share
 
+    def cores(self) -> float:
+        """That all jobs share, as far as they can be kept at work; infinite if none are known."""
+        total = 0.0
+        hulls = self._hulls()
+        for machine in self._fleet.machines.values():
+            hull = hulls.get(machine.type)
+            if hull is not None and (machine.open or machine.health is Health.BOOTING):
+                total += hull.cores
+        return total * AT_WORK or math.inf
+
     def turns(self) -> list[Turn]:
         standings = []
         for job in self._book.open.values():
+            left = job.tasks - job.done
+            run_s = self.estimates.run_s(job)
+            live = len(job.live)
             standings.append(
                 Standing(
                     job.index,
@@ -199,9 +224,14 @@
                     self.path_s(job),
                     job.tasks * job.cores,
                     job.tasks * job.accelerators,
+                    run_s,
+                    self.estimates.tail_s(job),
+                    min(left * job.cores, self.teams[job.team].cpus_max),
+                    (left - live / 2) * run_s * job.cores,
+                    live > 0 or job.done > 0,
                 )
             )
-        return order(standings, self._guarantees, time.time())
+        return order(standings, self._guarantees, time.time(), self.cores())
 
     def want(self, job: Job) -> Want:
         live_zones: dict[int, int] = {}
@@ -235,12 +265,17 @@
         """What to start, and what to stop to make room."""
         wants: list[Want] = []
         guaranteed: dict[int, bool] = {}
-        for index, inside, _ in self.turns():
+        for index, inside, _, overdue in self.turns():
             job = self._book.jobs[index]
             if job.gang and job.live:
                 continue  # its other tasks are still there: they end, and all start anew together
             if job.pending > 0 and now >= job.not_before:
-                wants.append(self.want(job))
+                want = self.want(job)
+                if overdue and not job.gang:
+                    # It should have begun: one task goes before all else, the others in turn.
+                    wants.insert(0, want._replace(pending=1))
+                    want = want._replace(pending=want.pending - 1)
+                wants.append(want)
                 guaranteed[index] = inside
         if not wants:
             return [], []
--- a/petrelthread/rental/keeper.py
+++ b/petrelthread/rental/keeper.py
@@ -229,7 +229,7 @@
         left = [[team.cpus_max, team.gpus_max] for team in self._rounds.teams]
         out = []
         wall = time.time()
-        for index, _, due_at in self._rounds.turns():
+        for index, _, due_at, _ in self._rounds.turns():
             job = self._book.jobs[index]
             unfinished = job.tasks - job.done - len(self._fleet.finished.get(job.index, ()))
             if unfinished <= 0 or now < job.not_before:
