--- a/petrelthread/controller.py
+++ b/petrelthread/controller.py
@@ -34,6 +34,9 @@
 CLEAN_UP_KEEPS = 0.5  # of the write burst that dropping settled records leaves untouched
 ABSTAIN_S = 15.0
 READY_S = 3.0
+# The leader stores the catalogue for all. When each controller asked the cloud itself at the start,
+# that took most of the burst of calls that the first rentals needed.
+CATALOG_OWN_S = 2.0
 
 
 class Controller:
@@ -277,6 +280,7 @@
             await asyncio.sleep(self.rounds.gap_s)
 
     async def _keeper_loop(self) -> None:
+        started = asyncio.get_running_loop().time()
         while True:
             try:
                 async with asyncio.timeout(1.0):
@@ -289,7 +293,7 @@
                 if self.election.leading:
                     await self.keeper.step(now)
                     await self._store_catalog()
-                elif not self.keeper.hulls:
+                elif not self.keeper.hulls and now - started > CATALOG_OWN_S:
                     await self.keeper.read_catalog(now)
             except Exception:
                 log.exception("rental step failed")
--- a/petrelthread/rental/keeper.py
+++ b/petrelthread/rental/keeper.py
@@ -314,6 +314,7 @@
                                 price,
                                 hull.startup_s,
                                 self.refusals.deep(index, zone, spot),
+                                self.refusals.tried(index, zone, spot),
                             )
                         )
         options = self._options()
--- a/petrelthread/rental/plan.py
+++ b/petrelthread/rental/plan.py
@@ -12,6 +12,7 @@
 from petrelthread.wire import RENT_MOST
 
 USUAL_RATIO = 2.2  # of an ordinary core's price to a spot core's
+UNTRIED = 0.5  # of what is asked that an offer never asked before is expected to give
 REFUSED_S = 10.0
 REFUSED_MOST_S = 20.0
 
@@ -40,6 +41,7 @@
     price: float  # per hour, as charged now
     startup_s: float
     deep: bool = False  # its last answer gave all that was asked: it may have more than one call
+    tried: bool = True  # it has answered before
 
 
 class Demand(NamedTuple):
@@ -88,8 +90,10 @@
     def __init__(self) -> None:
         self._until: dict[tuple[int, int, bool], tuple[float, float]] = {}
         self._deep: set[tuple[int, int, bool]] = set()
+        self._tried: set[tuple[int, int, bool]] = set()
 
     def refused(self, type: int, zone: int, spot: bool, now: float) -> None:
+        self._tried.add((type, zone, spot))
         _, last = self._until.get((type, zone, spot), (0.0, REFUSED_S / 2))
         pause = min(REFUSED_MOST_S, last * 2)
         self._until[type, zone, spot] = (now + pause, pause)
@@ -98,6 +102,10 @@
     def granted(self, type: int, zone: int, spot: bool) -> None:
         self.freed(type, zone, spot)
         self._deep.add((type, zone, spot))
+        self._tried.add((type, zone, spot))
+
+    def tried(self, type: int, zone: int, spot: bool) -> bool:
+        return (type, zone, spot) in self._tried
 
     def freed(self, type: int, zone: int, spot: bool) -> None:
         """A machine of ours went: there may be one to be had again."""
@@ -225,7 +233,7 @@
             count = math.ceil(lacking / cores - 1e-6)
             most = min(count, RENT_MOST * (calls - len(rents) if offer.deep else 1))
             capped = capped or count > most
-            have += most * cores
+            have += most * cores * (1.0 if offer.tried or dear else UNTRIED)
             while most > 0:
                 rents.append(Rent(offer.type, offer.zone, offer.spot, min(most, RENT_MOST)))
                 most -= RENT_MOST
--- a/petrelthread/rental/test_plan.py
+++ b/petrelthread/rental/test_plan.py
@@ -50,6 +50,17 @@
     assert any(not r.spot for r in short.rents)
 
 
+def test_cheap_offers_never_asked_before_are_asked_together() -> None:
+    # One after the other, each with what the one before had not given, they took the cloud's calls
+    # of four seconds, and the machines that boot first were asked for last.
+    offers = [SPOT._replace(zone=zone, tried=False) for zone in range(3)]
+    got = plan([demand(150, 4500.0)], [], offers, 0.0, Options(), 9)
+    assert [(r.zone, r.machines) for r in got.rents] == [(0, 50), (1, 50), (2, 25)]
+    known = [offer._replace(tried=True) for offer in offers]
+    got = plan([demand(150, 4500.0)], [], known, 0.0, Options(), 9)
+    assert [(r.zone, r.machines) for r in got.rents] == [(0, 50), (1, 25)]
+
+
 def test_a_big_dear_machine_needs_half_its_cores_lacking() -> None:
     few = plan([demand(10, 400.0, 60.0)], [], [BIG_DEAR], 0.0, Options(), 9)
     assert not few.rents
