A new leader does not rent anew what idles

They count until their workers have had time to find the leader. A new leader also does not take offers for never asked.

--- a/petrelthread/rental/keeper.py
+++ b/petrelthread/rental/keeper.py
@@ -75,6 +75,8 @@
             for o in settings.cluster.objectives
             if o.kind == "wait"
         }
+        # That a worker may take to find a new leader and report to it.
+        self._hear_s = 2 * settings.cluster.workers.report_s + 5.0
         # In one plan: as many as the cloud takes in a burst.
         self._calls = max(2, int(2 * settings.cluster.cloud.rps))
         self.wake = asyncio.Event()
@@ -274,8 +276,11 @@
             if (
                 machine.health is Health.BOOTING
                 and now - machine.rented_at > LATE_BOOT * hull.startup_s
+                and now - machine.known_at > self._hear_s
             ):
-                continue  # it may still come, but nobody should wait for it
+                # It may still come, but nobody should wait for it. To a new leader a machine that
+                # was idle looks the same until it reports, and must not be rented anew.
+                continue
             if machine.health is Health.BOOTING and machine.zone in self._zones_down:
                 continue
             busy = machine.index in self._book.on_machine
@@ -314,7 +319,8 @@
                                 price,
                                 hull.startup_s,
                                 self.refusals.deep(index, zone, spot),
-                                self.refusals.tried(index, zone, spot),
+                                bool(self._fleet.machines)
+                                or self.refusals.tried(index, zone, spot),
                             )
                         )
         options = self._options()
--- a/petrelthread/rental/test_plan.py
+++ b/petrelthread/rental/test_plan.py
@@ -121,6 +121,30 @@
     play(scenario())
 
 
+def test_a_new_leader_does_not_rent_anew_what_idles() -> None:
+    # 100 machines were once rented the moment a leader was elected: those idle had no tasks in the
+    # records, had not reported to it yet, and counted as late to boot.
+    async def scenario() -> None:
+        world = World()
+        await world.submit(job("wk-000001", 6, guess_s=60.0))
+        await world.until_over(60.0)
+        await asyncio.sleep(3.0)
+        rented = world.cloud.rented
+        assert rented == len(world.cloud.machines) > 0
+        for machine in world.cloud.machines.values():  # their next reports come late
+            machine["worker"].frozen = True
+        world.crash(await world.led())
+        await world.submit(job("wk-000002", 6, guess_s=60.0))
+        await world.led()
+        await asyncio.sleep(2.5)
+        assert world.cloud.rented == rented
+        for machine in world.cloud.machines.values():
+            machine["worker"].frozen = False
+        await world.until_over(60.0)
+
+    play(scenario())
+
+
 def test_clean_up_leaves_half_of_the_write_burst() -> None:
     # A round once waited 3 s for its write behind drops of settled records.
     budget = Budget(8.0, 8.0)
