--- a/petrelthread/admin/views.py
+++ b/petrelthread/admin/views.py
@@ -162,6 +162,12 @@
         for kind, zone, spot, _ in node.keeper.refusals.listed(now)
     ]
     tail = f"; the cloud has no more {', '.join(refused)}" if refused else ""
+    deaf = sum(bool(m.deaf) and m.health is Health.UP for m in node.fleet.machines.values())
+    if deaf:
+        tail += f"; {deaf} machines report but do not hear us"
+    if node.zone_watch.down:
+        cut = ", ".join(book.names.zones.name(zone) for zone in sorted(node.zone_watch.down))
+        tail += f"; cut off: {cut}"
     return (
         f"{head}: no room for {job.cores:g} cores and {job.ram_gb:g} GB on any of {len(allowed)}"
         f" allowed machines, {booting} are booting{tail}."
--- a/petrelthread/cli/operate.py
+++ b/petrelthread/cli/operate.py
@@ -10,6 +10,8 @@
 
 from petrelthread.settings import split_addr
 
+SHOWN_MOST = 8
+
 
 class Unreachable(Exception):
     pass
@@ -109,6 +111,10 @@
                 f"team {t['team']}: {t['cores']:g} cores"
                 f" (guaranteed {t['guaranteed']:g}, limit {t['limit']:g})"
             )
-    for op in got["operations"]:
+    # One screen: after a take-over there may be one for each of hundreds of machines.
+    oldest = sorted(got["operations"], key=lambda op: -op["age_s"])
+    for op in oldest[:SHOWN_MOST]:
         lines.append(f"unknown: {op['operation']}, {op['age_s']} s; awaits {op['awaits']}")
+    if len(oldest) > SHOWN_MOST:
+        lines.append(f"unknown: {len(oldest) - SHOWN_MOST} more, all younger (--json lists them)")
     return "\n".join(lines)
--- /dev/null
+++ b/petrelthread/cli/test_operate.py
@@ -0,0 +1,76 @@
+"""What operators see, and with which exit codes."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from petrelthread.cli import main, operate
+
+STATUS: dict[str, Any] = {
+    "node": "n0",
+    "role": "leading",
+    "leader": "n0",
+    "epoch": 7,
+    "state_service": True,
+    "siblings": [
+        {"node": f"n{n}", "heard_s_ago": 0.4, "state_service": True, "workers_heard": 0}
+        for n in range(1, 5)
+    ],
+    "zones": [{"zone": z, "says": "serving", "up": 120, "booting": 3} for z in "abc"],
+    "machines": {"up": 380, "hears nothing": 2, "silent": 4},
+    "operations": [
+        {"operation": f"2 starts on host-{n}", "age_s": float(n), "awaits": "its report"}
+        for n in range(384)
+    ],
+    "teams": [
+        {"team": f"team-{n:02d}", "cores": 100.0, "guaranteed": 180.0, "limit": 500.0}
+        for n in range(16)
+    ],
+    "backlog": {"plan": {"jobs": 9, "waiting": 20, "running": 100}},
+}
+
+
+def answer(monkeypatch: pytest.MonkeyPatch, code: int, got: Any) -> list[tuple[str, str, Any]]:
+    asked: list[tuple[str, str, Any]] = []
+
+    def ask(address: str, method: str, path: str, body: Any = None) -> tuple[int, Any]:
+        asked.append((method, path, body))
+        return code, got
+
+    monkeypatch.setattr(operate, "ask", ask)
+    return asked
+
+
+def test_status_stays_one_screen(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    answer(monkeypatch, 200, STATUS)
+    assert main(["status"]) == 0
+    lines = capsys.readouterr().out.splitlines()
+    assert len(lines) < 40
+    assert any("2 hears nothing" in line for line in lines)
+    assert any("host-383" in line for line in lines)  # the oldest is shown,
+    assert any("376 more" in line for line in lines)  # and the others are counted
+    assert main(["status", "--json"]) == 0
+    assert "host-0" in capsys.readouterr().out
+
+
+@pytest.mark.parametrize(("code", "exit_code"), [(400, 2), (404, 3), (409, 4), (503, 1), (500, 1)])
+def test_exit_codes(
+    code: int,
+    exit_code: int,
+    monkeypatch: pytest.MonkeyPatch,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    answer(monkeypatch, code, {"error": "the reason"})
+    assert main(["why", "wk-000001"]) == exit_code
+    shown = capsys.readouterr()
+    assert "the reason" in shown.err and not shown.out
+
+
+def test_a_value_that_is_no_number_is_not_sent(monkeypatch: pytest.MonkeyPatch) -> None:
+    asked = answer(monkeypatch, 200, {"version": 3, "settings": []})
+    assert main(["settings", "set", "idle_s", "soon"]) == 2
+    assert all(method == "GET" for method, _, _ in asked)
--- /dev/null
+++ b/petrelthread/leadership/test_election.py
@@ -0,0 +1,64 @@
+"""The right to lead, to command and to answer: three different things."""
+
+from __future__ import annotations
+
+import asyncio
+
+from petrelthread.leadership import Role
+from tests.virtual import play
+from tests.world import NODES, World
+
+
+def test_what_each_role_may_do_while_the_state_service_is_lost() -> None:
+    async def scenario() -> None:
+        world = World()
+        name = await world.led()
+        election = world.nodes[name].election
+        assert election.leading and election.acting and election.fence() is not None
+        world.net.cut |= {frozenset((name, other)) for other in ("state", *NODES) if other != name}
+        lost_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(5.0)
+        assert election.role is Role.HOLDING_OVER
+        assert not election.leading  # no commands, no claims,
+        assert election.fence() is None
+        assert election.acting  # but answers, so that no worker's lease ends for it
+        while election.acting:
+            await asyncio.sleep(0.1)
+        held_s = asyncio.get_running_loop().time() - lost_at
+        limit_s = world.nodes[name].settings.hold_over_s
+        assert limit_s - 2.0 < held_s <= limit_s + 0.2
+
+    play(scenario())
+
+
+def test_a_newer_epoch_from_anyone_ends_the_lead() -> None:
+    async def scenario() -> None:
+        world = World()
+        name = await world.led()
+        election = world.nodes[name].election
+        election.saw_epoch(election.epoch)
+        assert election.leading
+        election.saw_epoch(election.epoch + 1)
+        assert election.role is Role.FOLLOWER and not election.acting
+
+    play(scenario())
+
+
+def test_two_candidates_never_hold_the_same_epoch() -> None:
+    async def scenario(seed: int) -> None:
+        world = World(seed)
+        for _ in range(4):
+            name = await world.led()
+            world.crash(name)
+            await asyncio.sleep(world.random.uniform(0.0, 0.5))
+            world.boot(name)
+            await asyncio.sleep(world.random.uniform(0.0, 5.0))
+        held: dict[int, set[str]] = {}
+        for key, value in world.store.puts:
+            if key == "pt/lead":
+                held.setdefault(value["epoch"], set()).add(value["nonce"])
+        assert len(held) >= 4
+        assert all(len(nonces) == 1 for nonces in held.values())
+
+    for seed in range(5):
+        play(scenario(seed))
