--- a/petrelthread/cli/serve.py
+++ b/petrelthread/cli/serve.py
@@ -9,7 +9,7 @@
 
 from petrelthread import __version__
 from petrelthread.controller import Controller
-from petrelthread.http import Client, Server
+from petrelthread.http import Client, Server, share_out
 from petrelthread.settings import Settings, split_addr
 
 log = logging.getLogger(__name__)
@@ -27,19 +27,28 @@
 
 
 async def _serve(settings: Settings) -> None:
-    client = Client()
-    controller = Controller(settings, client.request, random.Random())
-    room = max(50, settings.cluster.machine_limits.max_connections)
-    public = Server(controller.handle, int(room * 0.6))
-    peers = Server(controller.handle_peer, max(20, int(room * 0.05)))
+    sockets = share_out(settings.cluster.machine_limits.max_connections, len(settings.siblings))
+    client, commands = Client(sockets.duties), Client(sockets.commands)
+    controller = Controller(
+        settings,
+        client.request,
+        random.Random(),
+        commands=commands.request,
+        commands_at_once=commands.at_once,
+    )
+    # A worker that has missed two reports is cut off, taken or with another controller.
+    stale_s = 2.5 * settings.cluster.workers.report_s + 2.0
+    public = Server(controller.handle, sockets.public, stale_s)
+    peers = Server(controller.handle_peer, sockets.peers)
     await public.listen(*split_addr(settings.bind))
     await peers.listen(*split_addr(settings.peer_listen))
     log.info("petrelthread %s on %s, node %s", __version__, settings.bind, settings.host_name)
     gc.freeze()
-    await asyncio.gather(controller.run(), _sweep(client))
+    await asyncio.gather(controller.run(), _sweep(client, commands))
 
 
-async def _sweep(client: Client) -> None:
+async def _sweep(*clients: Client) -> None:
     while True:
         await asyncio.sleep(5.0)
-        client.sweep()
+        for client in clients:
+            client.sweep()
--- a/petrelthread/controller.py
+++ b/petrelthread/controller.py
@@ -35,13 +35,22 @@
 ABSTAIN_S = 15.0
 READY_S = 3.0
 LOAD_EVERY_S = 5.0
+COMMANDS_AT_ONCE = 24
 # The leader stores the catalogue for all. When each controller asked the cloud itself at the start,
 # that took most of the burst of calls that the first rentals needed.
 CATALOG_OWN_S = 2.0
 
 
 class Controller:
-    def __init__(self, settings: Settings, request: Request, randomness: random.Random) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        request: Request,
+        randomness: random.Random,
+        commands: Request | None = None,
+        commands_at_once: int = COMMANDS_AT_ONCE,
+    ) -> None:
+        """``commands``: what carries requests to workers, if not ``request``."""
         self.settings = settings
         cluster = settings.cluster
         workers = cluster.workers
@@ -74,7 +83,7 @@
             self.book,
             self.fleet,
             claims,
-            Dispatch(self.fleet, request),
+            Dispatch(self.fleet, commands or request, commands_at_once),
             lambda: self.keeper.hulls,
             estimates,
             self.mirror.fresh,
--- a/petrelthread/fleet/dispatch.py
+++ b/petrelthread/fleet/dispatch.py
@@ -15,15 +15,14 @@
 
 log = logging.getLogger(__name__)
 
-AT_ONCE = 24
 ANSWER_S = 2.0
 
 
 class Dispatch:
-    def __init__(self, fleet: Fleet, request: Request) -> None:
+    def __init__(self, fleet: Fleet, request: Request, at_once: int) -> None:
         self._fleet = fleet
         self._request = request
-        self._room = asyncio.Semaphore(AT_ONCE)
+        self._room = asyncio.Semaphore(at_once)
 
     def send(self, launches: list[Attempt], stops: list[Attempt]) -> None:
         """Send what a won claim allows. What is lost on the way rides on check-in answers."""
@@ -34,7 +33,11 @@
             by_machine.setdefault(attempt.machine, ([], []))[1].append(attempt)
         for index, (starting, stopping) in by_machine.items():
             machine = self._fleet.machines.get(index)
-            if machine is not None and machine.addr:
+            if machine is None or not machine.addr:
+                continue
+            # Cut and hanging machines would hold all the room for commands while those that hear
+            # wait: one that has not answered gets its orders with its next report.
+            if machine.newest_at >= machine.unanswered_at:
                 asyncio.create_task(self._send(machine, starting, stopping, self._fleet.epoch))
 
     async def _send(
@@ -42,35 +45,39 @@
     ) -> None:
         fleet = self._fleet
         session = machine.session
-        machine.sending += 1
         reply = None
-        try:
-            async with self._room:
-                going = [
-                    a
-                    for a in starting
-                    if a.state is Op.DISPATCHING and a.session == session and not a.job.final
-                ]
-                orders: list[dict[str, Any]] = [
-                    wire.halt(a.job.id, a.task, a.number, a.job.grace_s) for a in stopping
-                ]
-                orders += [wire.launch(a.job.id, a.task, a.number) for a in going]
-                if not orders or fleet.epoch != token:
-                    return
-                body = wire.do_request(token, session, orders)
-                try:
-                    reply = await self._request(
-                        machine.addr, "POST", wire.DO_PATH, body, timeout=ANSWER_S
-                    )
-                except NoAnswer as error:
-                    log.debug("machine %s: no answer to commands: %s", machine.name, error)
-                    if error.sent:
-                        for a in going:
-                            machine.unsure[a.job.index, a.task, a.number] = token
-                            if a.state is Op.DISPATCHING:
-                                move(a, Op.UNKNOWN)
-        finally:
-            machine.sending = max(0, machine.sending - 1)
+        async with self._room:
+            # What waited here may have gone out with the answer to a report meanwhile.
+            going = [
+                a
+                for a in starting
+                if a.state is Op.DISPATCHING
+                and a.session == session
+                and not a.told
+                and not a.job.final
+            ]
+            orders: list[dict[str, Any]] = [
+                wire.halt(a.job.id, a.task, a.number, a.job.grace_s) for a in stopping
+            ]
+            orders += [wire.launch(a.job.id, a.task, a.number) for a in going]
+            if not orders or fleet.epoch != token:
+                return
+            body = wire.do_request(token, session, orders)
+            machine.sending += 1
+            try:
+                reply = await self._request(
+                    machine.addr, "POST", wire.DO_PATH, body, timeout=ANSWER_S
+                )
+            except NoAnswer as error:
+                log.debug("machine %s: no answer to commands: %s", machine.name, error)
+                machine.unanswered_at = asyncio.get_running_loop().time()
+                if error.sent:
+                    for a in going:
+                        machine.unsure[a.job.index, a.task, a.number] = token
+                        if a.state is Op.DISPATCHING:
+                            move(a, Op.UNKNOWN)
+            finally:
+                machine.sending = max(0, machine.sending - 1)
         if reply is None or fleet.epoch != token:
             return
         if reply.status in (200, 409):
--- a/petrelthread/fleet/machine.py
+++ b/petrelthread/fleet/machine.py
@@ -58,6 +58,7 @@
         "strikes",
         "tick",
         "type",
+        "unanswered_at",
         "unsure",
         "zone",
     )
@@ -93,6 +94,7 @@
         self.listed = False
         self.charter = ""
         self.sending = 0  # direct commands now under way
+        self.unanswered_at = 0.0  # when a direct command was last given up
         # Attempts that an unanswered direct command may still start, with its token.
         self.unsure: dict[tuple[int, int, int], int] = {}
         self.images: dict[int, float] = {}  # cached images in order of last use, with their size
--- a/petrelthread/http/__init__.py
+++ b/petrelthread/http/__init__.py
@@ -2,5 +2,6 @@
 
 from petrelthread.http.client import Client, NoAnswer, Reply
 from petrelthread.http.server import Response, Server, answer
+from petrelthread.http.sockets import Sockets, share_out
 
-__all__ = ["Client", "NoAnswer", "Reply", "Response", "Server", "answer"]
+__all__ = ["Client", "NoAnswer", "Reply", "Response", "Server", "Sockets", "answer", "share_out"]
--- a/petrelthread/http/client.py
+++ b/petrelthread/http/client.py
@@ -12,6 +12,7 @@
 
 KEPT_PER_ADDR = 4
 KEPT_S = 30.0
+SOCKETS = 64
 
 
 class NoAnswer(Exception):
@@ -65,10 +66,18 @@
 
 
 class Client:
-    """Requests to any address. Connections that gave trouble are never used again."""
+    """Requests to any address. Connections that gave trouble are never used again.
 
-    def __init__(self) -> None:
+    ``sockets`` bounds what is open at once. Half of them may stay open unused; a request that finds
+    the others at work waits within its own time limit.
+    """
+
+    def __init__(self, sockets: int = SOCKETS) -> None:
         self._idle: dict[str, list[_Connection]] = {}
+        self._kept_most = sockets // 2
+        self._kept = 0
+        self.at_once = max(1, sockets - self._kept_most)
+        self._room = asyncio.Semaphore(self.at_once)
 
     async def request(
         self, addr: str, method: str, target: str, body: Any = None, timeout: float = 2.0
@@ -77,7 +86,7 @@
         conn: _Connection | None = None
         data = None if body is None else orjson.dumps(body)
         try:
-            async with asyncio.timeout(timeout):
+            async with asyncio.timeout(timeout), self._room:
                 conn = self._take(addr)
                 if conn is None:
                     host, port = split_addr(addr)
@@ -98,6 +107,7 @@
         now = asyncio.get_running_loop().time()
         while pool:
             conn = pool.pop()
+            self._kept -= 1
             fresh = now - conn.idle_since < KEPT_S
             if fresh and not conn.reader.at_eof() and not conn.writer.is_closing():
                 return conn
@@ -106,13 +116,20 @@
 
     def _keep(self, addr: str, conn: _Connection) -> None:
         done = conn.h11.our_state is h11.DONE and conn.h11.their_state is h11.DONE
-        pool = self._idle.setdefault(addr, [])
-        if not done or len(pool) >= KEPT_PER_ADDR:
+        if not done or len(self._idle.get(addr, ())) >= KEPT_PER_ADDR:
             conn.abort()
             return
+        if self._kept >= self._kept_most:
+            self._drop_oldest()
+        self._kept += 1
         conn.h11.start_next_cycle()
         conn.idle_since = asyncio.get_running_loop().time()
-        pool.append(conn)
+        self._idle.setdefault(addr, []).append(conn)
+
+    def _drop_oldest(self) -> None:
+        pools = [pool for pool in self._idle.values() if pool]
+        min(pools, key=lambda pool: pool[0].idle_since).pop(0).abort()
+        self._kept -= 1
 
     def sweep(self) -> None:
         """Close connections nobody used for a while; called now and then."""
@@ -124,6 +141,7 @@
                     kept.append(conn)
                 else:
                     conn.abort()
+                    self._kept -= 1
             if kept:
                 self._idle[addr] = kept
             else:
--- a/petrelthread/http/server.py
+++ b/petrelthread/http/server.py
@@ -17,6 +17,8 @@
 IDLE_S = 75.0
 BODY_S = 10.0
 LINE_MOST = 8 * 1024
+STALE_S = 15.0
+BACKLOG = 1024
 
 
 class Response(NamedTuple):
@@ -41,19 +43,36 @@
 
 
 class Server:
-    """Serves one address. ``room`` says how many connections may be open at once."""
+    """Serves one address. ``room`` says how many connections may be open at once.
 
-    def __init__(self, handler: Handler, room: int) -> None:
+    When they are, those that have been silent for ``stale_s`` give way: workers that were cut off
+    or taken leave theirs half open. If none has, a tenth of the room is for connections that get
+    one answer and are closed, so that users are told something; beyond that they are refused.
+    """
+
+    def __init__(self, handler: Handler, room: int, stale_s: float = STALE_S) -> None:
         self._handler = handler
         self._room = room
+        self._kept = max(1, room - max(1, room // 10))
+        self._stale_s = stale_s
         self._open = 0
+        # Waiting for a request, the longest first, and since when.
+        self._waiting: dict[asyncio.StreamWriter, float] = {}
+
+    @property
+    def open(self) -> int:
+        return self._open
 
     async def listen(self, host: str, port: int) -> asyncio.Server:
-        return await asyncio.start_server(self._serve, host, port, limit=128 * 1024, backlog=512)
+        return await asyncio.start_server(
+            self._serve, host, port, limit=128 * 1024, backlog=BACKLOG
+        )
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._open += 1
         try:
+            if self._open > self._kept:
+                self._make_room()
             if self._open <= self._room:
                 await self._requests(reader, writer)
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
@@ -62,14 +81,26 @@
             log.exception("connection handler failed")
         finally:
             self._open -= 1
+            self._waiting.pop(writer, None)
             writer.close()
 
+    def _make_room(self) -> None:
+        """Close what has been silent the longest, if that is long."""
+        oldest = next(iter(self._waiting), None)
+        now = asyncio.get_running_loop().time()
+        if oldest is not None and now - self._waiting[oldest] > self._stale_s:
+            del self._waiting[oldest]
+            oldest.transport.abort()
+
     async def _requests(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         conn = h11.Connection(h11.SERVER, max_incomplete_event_size=16 * 1024)
+        loop = asyncio.get_running_loop()
         while True:
             try:
+                self._waiting[writer] = loop.time()
                 async with asyncio.timeout(IDLE_S):
                     event = await self._next(conn, reader, writer)
+                self._waiting.pop(writer, None)
                 if not isinstance(event, h11.Request):
                     return
                 # h11 bounds only what is still incomplete, and takes any version number.
@@ -96,7 +127,7 @@
             except Exception:
                 log.exception("request handler failed")
                 response = refusal(503, "internal trouble", 1)
-            self._send(conn, writer, response, close=self._open > self._room * 0.95)
+            self._send(conn, writer, response, close=self._open > self._kept)
             await writer.drain()
             if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
                 return
