--- a/petrelthread/rental/__init__.py
+++ b/petrelthread/rental/__init__.py
@@ -1,7 +1,17 @@
 """How many machines, of which kind, and when they go back."""
 
 from petrelthread.rental.cloud import CloudClient, CloudDown, CloudUnsure, NoCapacity
-from petrelthread.rental.plan import Demand, Offer, Options, Owned, Plan, Refusals, Rent, plan
+from petrelthread.rental.plan import (
+    Demand,
+    Offer,
+    Options,
+    Owned,
+    Plan,
+    Refusals,
+    Rent,
+    in_turn,
+    plan,
+)
 
 __all__ = [
     "CloudClient",
@@ -15,5 +25,6 @@
     "Plan",
     "Refusals",
     "Rent",
+    "in_turn",
     "plan",
 ]
--- a/petrelthread/rental/cloud.py
+++ b/petrelthread/rental/cloud.py
@@ -32,10 +32,19 @@
         self._addr = addr
         self._budget = budget
 
+    async def turn(self) -> None:
+        """Wait until a call may be made, and count it."""
+        await self._budget.take()
+
+    def not_used(self) -> None:
+        """The turn was not taken after all."""
+        self._budget.put_back()
+
     async def _call(
-        self, method: str, target: str, body: Any = None, timeout: float = 4.0
+        self, method: str, target: str, body: Any = None, timeout: float = 4.0, paid: bool = False
     ) -> Reply:
-        await self._budget.take()
+        if not paid:
+            await self.turn()
         try:
             reply = await self._request(self._addr, method, target, body, timeout=timeout)
         except NoAnswer as error:
@@ -62,10 +71,11 @@
         return self._decode(reply.body, wire.Catalog)
 
     async def rent(
-        self, charter: str, hull: str, zone: str, spot: bool, count: int
+        self, charter: str, hull: str, zone: str, spot: bool, count: int, paid: bool = False
     ) -> tuple[str, ...]:
+        """``paid``: its turn has been waited for already."""
         body = wire.rent_request(charter, hull, zone, spot, count)
-        reply = await self._call("POST", wire.HOSTS_PATH, body)
+        reply = await self._call("POST", wire.HOSTS_PATH, body, paid=paid)
         return self._decode(reply.body, wire.Rented).perches
 
     async def give_back(self, names: list[str]) -> None:
--- a/petrelthread/rental/keeper.py
+++ b/petrelthread/rental/keeper.py
@@ -13,7 +13,17 @@
 from petrelthread.ledger import Book, Claims, Op, Outcome, move
 from petrelthread.placement.rounds import Rounds
 from petrelthread.rental.cloud import CloudClient, CloudDown, CloudUnsure, NoCapacity
-from petrelthread.rental.plan import Demand, Offer, Options, Owned, Plan, Refusals, Rent, plan
+from petrelthread.rental.plan import (
+    Demand,
+    Offer,
+    Options,
+    Owned,
+    Plan,
+    Refusals,
+    Rent,
+    in_turn,
+    plan,
+)
 from petrelthread.settings import Settings
 from petrelthread.store import ROOT
 
@@ -150,8 +160,7 @@
         for _ in range(REPLANS):
             if not rents:
                 break
-            full = await asyncio.gather(*(self._rent(rent, now) for rent in rents))
-            if all(full) or not self._leading():
+            if await self._rent_all(rents) or not self._leading():
                 break
             now = asyncio.get_running_loop().time()
             rents = self._plan(now).rents
@@ -443,8 +452,26 @@
         self._serial += 1
         return f"{self._fleet.epoch}-{self._serial}"
 
+    async def _rent_all(self, rents: list[Rent]) -> bool:
+        """Make the calls as fast as the cloud takes them. True if it gave all that was asked for.
+
+        Many calls may ask the same offer. Once one of them has come short, the others would only
+        be refused: twelve such calls of 0.3 s each came before the machines that other zones had.
+        """
+        clock = asyncio.get_running_loop().time
+        under_way: list[asyncio.Task[bool]] = []
+        full = True
+        for rent in in_turn(rents):
+            await self._cloud.turn()
+            if not self.refusals.open(rent.type, rent.zone, rent.spot, clock()):
+                self._cloud.not_used()
+                full = False
+                continue
+            under_way.append(asyncio.create_task(self._rent(rent, clock())))
+        return all(await asyncio.gather(*under_way)) and full
+
     async def _rent(self, rent: Rent, now: float) -> bool:
-        """True unless the cloud gave less than was asked for."""
+        """True unless the cloud gave less than was asked for. The call's turn has come."""
         names = self._book.names
         key = f"c/{self._next()}"
         value = {
@@ -462,17 +489,19 @@
         move(op, Op.DISPATCHING)
         self.ops[key] = op
         self._book.rentals[key[2:]] = value
-        await self._send_rent(op, now)
+        await self._send_rent(op, now, paid=True)
         return self.refusals.open(rent.type, rent.zone, rent.spot, now)
 
-    async def _send_rent(self, op: CloudOp, now: float) -> None:
+    async def _send_rent(self, op: CloudOp, now: float, paid: bool = False) -> None:
         value = op.value
         names = self._book.names
         offer = (names.types.index(value["t"]), names.zones.index(value["z"]), bool(value["s"]))
         kind = "spot" if value["s"] else "ordinary"
         op.busy = True
         try:
-            got = await self._cloud.rent(op.key[2:], value["t"], value["z"], value["s"], value["n"])
+            got = await self._cloud.rent(
+                op.key[2:], value["t"], value["z"], value["s"], value["n"], paid
+            )
         except NoCapacity:
             log.info("no capacity: %s %s in %s", kind, value["t"], value["z"])
             self.refusals.refused(*offer, now)
--- a/petrelthread/rental/plan.py
+++ b/petrelthread/rental/plan.py
@@ -257,3 +257,14 @@
         else:
             out.append(machine)
     return out
+
+
+def in_turn(rents: list[Rent]) -> list[Rent]:
+    """One call to each offer, then the second to each, and so on: all learn soon what is left."""
+    rounds: dict[tuple[int, int, bool], int] = {}
+    turns: list[tuple[int, int, Rent]] = []
+    for at, rent in enumerate(rents):
+        offer = (rent.type, rent.zone, rent.spot)
+        turns.append((rounds.get(offer, 0), at, rent))
+        rounds[offer] = rounds.get(offer, 0) + 1
+    return [rent for _, _, rent in sorted(turns)]
--- a/petrelthread/rental/test_plan.py
+++ b/petrelthread/rental/test_plan.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
+from typing import Any
 
-from petrelthread.rental import Demand, Offer, Options, Owned, Refusals, plan
+from petrelthread.rental import Demand, Offer, Options, Owned, Refusals, Rent, in_turn, plan
 from petrelthread.store import Budget
 from tests.virtual import play
-from tests.world import NODES, World, job
+from tests.world import NODES, SMALL, World, job
 
 SPOT = Offer(0, 0, True, 4.0, 0.0, 8.0, 0.1, 30.0)
 DEAR = Offer(0, 0, False, 4.0, 0.0, 8.0, 0.3, 30.0)
@@ -151,3 +153,44 @@
     assert budget.spare(0.0, 0.5) == 4
     play(budget.take(5.0))
     assert budget.spare(100.0, 0.5) == 0
+
+
+def test_calls_to_an_offer_that_came_short_are_not_made() -> None:
+    """The rest of a plan's calls for it took 3 s of the cloud's turns while other zones waited."""
+    asked: list[tuple[str, int]] = []
+
+    async def main() -> None:
+        text = SMALL.text.replace("cpus_max = 12.0", "cpus_max = 4000.0")
+        text = text.replace("rps = 10.0\nlist_lag_s", "rps = 1.0\nlist_lag_s")
+        world = World(1, replace(SMALL, text=text, spot=420, ordinary=0))
+        handle = world.cloud.handle
+
+        async def cloud(source: str, method: str, target: str, body: Any) -> tuple[int, Any]:
+            status, answer = await handle(source, method, target, body)
+            if target == "/hosts" and method == "POST":
+                asked.append((body["roost"], len(answer.get("perches", ()))))
+            return status, answer
+
+        world.net.hosts["cloud:1"] = cloud
+        await world.submit(job("wk-000001", 2000, guess_s=60.0))
+        while world.cloud.rented < 420:
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(6.0)
+
+    play(main())
+    # Two zones draw from the same 420 machines: nine calls get some, and hardly one is in vain.
+    first_short = next(at for at, (_, got) in enumerate(asked) if got < 50)
+    vain = [zone for zone, got in asked[first_short : first_short + 4] if got == 0]
+    assert len(vain) <= 2, vain
+
+
+def test_the_first_call_of_each_offer_comes_before_the_second_of_any() -> None:
+    rents = [Rent(0, zone, True, count) for zone in range(3) for count in (50, 49)]
+    assert [(r.zone, r.machines) for r in in_turn(rents)] == [
+        (0, 50),
+        (1, 50),
+        (2, 50),
+        (0, 49),
+        (1, 49),
+        (2, 49),
+    ]
--- a/petrelthread/store/client.py
+++ b/petrelthread/store/client.py
@@ -58,6 +58,10 @@
         if self._level < 0:
             await asyncio.sleep(-self._level / self.rate)
 
+    def put_back(self, amount: float = 1.0) -> None:
+        """Of what was taken, this was not used."""
+        self._level = min(self.burst, self._level + amount)
+
     def spare(self, now: float, keep_share: float) -> int:
         """How much may be taken now and still leave a share of the burst for what is urgent."""
         self._refill(now)
