--- a/petrelthread/rental/keeper.py
+++ b/petrelthread/rental/keeper.py
@@ -270,6 +270,7 @@
                     job.types,
                     job.zone,
                     job.spot,
+                    job.pending > 0,
                 )
             )
         return out
@@ -306,6 +307,11 @@
                     hull.low_price if machine.spot else hull.hourly,
                     now - machine.idle_since if idle else None,
                     len(self._fleet.attempts(machine)),
+                    sum(
+                        attempt.job.cores
+                        for attempt in self._fleet.attempts(machine).values()
+                        if not attempt.ended and attempt.job.pending == 0
+                    ),
                 )
             )
         offers = []
--- a/petrelthread/rental/plan.py
+++ b/petrelthread/rental/plan.py
@@ -56,6 +56,7 @@
     types: frozenset[int] | None
     zone: int | None
     spot: bool
+    waiting: bool = True  # some of its tasks are on no machine yet
 
 
 class Owned(NamedTuple):
@@ -69,6 +70,7 @@
     price: float
     idle_s: float | None  # None while it works or boots
     tasks: int
+    held: float = 0.0  # cores that tasks take of jobs none of whose tasks wait any more
 
 
 class Rent(NamedTuple):
@@ -201,14 +203,24 @@
         cheap_target = max(least, min(could_use, work / options.spot_drain_s)) + spare
         dear_target = max(least, min(could_use, _cores_in_time(group, options, weight)))
         keep = min(could_use, _cores_in_time(group, options, weight * options.keep_share))
-        keep_cheap, keep_dear = could_use + spare, max(keep, dear_target)
-        have = 0.0
+        # Room is needed only where tasks are still to come: those of jobs that wait for nothing
+        # stay where they are. Counted as if they all needed room, the last long tasks of a day
+        # were started on every machine there was, and 3,100 cores were paid for 760 in use.
+        keep_room = min(could_use, sum(d.tasks * d.cores for d in group if d.waiting)) + spare
+        keep_dear = max(keep, dear_target)
+        have = room = 0.0
         for machine in list(left):
             cores = _fits(shape, machine) * shape.cores
-            dear = shape.spot and not machine.spot
-            lacking = (keep_dear if dear else keep_cheap) - have
-            if cores > 0 and lacking > (options.dear_fill * cores if dear else 1e-6):
-                have += cores
+            if cores <= 0:
+                continue
+            if shape.spot and not machine.spot:
+                if keep_dear - have > options.dear_fill * cores:
+                    have += cores
+                    left.remove(machine)
+                continue
+            have += cores
+            if room < keep_room - 1e-6 and machine.held < cores:
+                room += cores - machine.held
                 left.remove(machine)
         priced = []
         capped = False
--- a/petrelthread/rental/test_plan.py
+++ b/petrelthread/rental/test_plan.py
@@ -85,6 +85,21 @@
     assert not busy.returns
 
 
+def test_only_jobs_with_tasks_to_come_keep_room_and_on_the_fullest_machines() -> None:
+    # The last long tasks of a day were spread over every machine there was.
+    flowing, ending = demand(8, 400.0), demand(20, 400.0)._replace(waiting=False)
+    machines = [
+        Owned(n, 0, 0, True, 4.0, 0.0, 8.0, 0.1, None, 2 if n < 6 else 1, 2.0 if n < 15 else 4.0)
+        for n in range(20)
+    ]
+    got = plan([flowing, ending], machines, [SPOT], 0.0, Options(), 9)
+    assert not got.rents  # what is being emptied still counts as capacity
+    assert got.retiring == set(range(8, 20))  # 8 machines with 2 free cores each hold 8 tasks
+    calm = plan([ending], machines, [SPOT], 0.0, Options(), 9)
+    assert calm.retiring == set(range(20))
+    assert not calm.returns  # none of them idles
+
+
 def test_refusals_back_off_and_end() -> None:
     refusals = Refusals()
     refusals.refused(0, 0, True, 0.0)
