--- a/petrelthread/placement/order.py
+++ b/petrelthread/placement/order.py
@@ -179,13 +179,17 @@
     for standing in jobs:
         groups.setdefault((not inside[standing.job], -standing.rank), []).append(standing)
     queue = Queue(cores, now)
+    # What is late anyway comes last, unless it alone would go on when all else is done: held back
+    # by its team's limit, it has to go on meanwhile.
+    drained_at = now + sum(s.work_s for s in jobs) / cores
     turns: list[Turn] = []
     for _, members in sorted(groups.items()):
         goals = reachable(members, queue)
         begins: list[tuple[float, float, int, Standing]] = []
         for s in members:
-            due = goals.get(s.job, now + LATE_S)
-            begin = due - s.least_s
+            begin = goals.get(s.job, now + LATE_S) - s.least_s
+            if s.job not in goals and now + s.least_s > drained_at:
+                begin = drained_at - s.least_s
             if not s.begun:
                 begin = min(begin, s.accepted_at + BEGIN_S)
             begins.append((begin, s.accepted_at, s.job, s))
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -5,7 +5,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import asyncio
+from dataclasses import dataclass, field
 from typing import Any
 
 from tests.world import HULLS, SETTINGS, Deployment, World, job
@@ -77,6 +78,7 @@
 
     world: World
     count: int = 0
+    asked: dict[str, float] = field(default_factory=dict)  # when each job was accepted
 
     async def add(self, jobs: int, tasks: int, **more: Any) -> None:
         for _ in range(jobs):
@@ -85,3 +87,4 @@
             spec = job(f"wk-{self.count:06d}", tasks, crew=crew, guess_s=20.0, **more)
             spec["bundle"] = f"img-{self.count % 6}"
             await self.world.submit(spec)
+            self.asked[spec["name_id"]] = asyncio.get_running_loop().time()
