--- a/petrelthread/placement/preempt.py
+++ b/petrelthread/placement/preempt.py
@@ -32,6 +32,17 @@
     return guaranteed and victim.team != want.team and over + 1e-6 >= victim.cores > 0
 
 
+def served_before(rank: int, guaranteed: bool, victim: Victim, inside: dict[int, bool]) -> bool:
+    """Whether a job comes before the victim's in the order: guarantees, then rank.
+
+    The room of a task that comes first would be given to that very task again: in the minute after
+    the start, tasks within their guarantee were stopped for a high rank without one, and started
+    anew, up to fourteen times each.
+    """
+    theirs = inside.get(victim.job)
+    return theirs is not None and (guaranteed, rank) > (theirs, victim.rank)
+
+
 def choose_victims(
     want: Want,
     rank: int,
--- a/petrelthread/placement/rounds.py
+++ b/petrelthread/placement/rounds.py
@@ -24,7 +24,7 @@
 )
 from petrelthread.placement.order import Standing, Turn, order
 from petrelthread.placement.place import EPS, Slot, TeamRoom, Want, place
-from petrelthread.placement.preempt import Victim, choose_victims
+from petrelthread.placement.preempt import Victim, choose_victims, served_before
 from petrelthread.settings import Settings
 from petrelthread.store import ROOT
 
@@ -293,6 +293,7 @@
         guaranteed: dict[int, bool] = {}
         for index, inside, _, overdue in self.turns():
             job = self._book.jobs[index]
+            guaranteed[index] = inside
             if job.gang and job.live:
                 continue  # its other tasks are still there: they end, and all start anew together
             if job.pending > 0 and now >= job.not_before:
@@ -302,7 +303,6 @@
                     wants.insert(0, want._replace(pending=1))
                     want = want._replace(pending=want.pending - 1)
                 wants.append(want)
-                guaranteed[index] = inside
         if not wants:
             return [], []
         slots, surplus = self.slots(min(want.cores for want in wants))
@@ -371,11 +371,12 @@
                 if self._stopping(now):
                     return []  # let the room made so far be used first
                 victims = self._victims(now)
-                slots = {**self.slots()[0], **slots}
+                full, surplus = self.slots()
+                slots = {**{slot.machine: slot for slot in surplus}, **full, **slots}
             over = [u[0] - t.cpus for u, t in zip(use, self.teams, strict=False)]
-            chosen = choose_victims(
-                want, job.rank, guaranteed[want.job], lacking, victims, slots, over
-            )
+            inside = guaranteed[want.job]
+            behind = [v for v in victims if served_before(job.rank, inside, v, guaranteed)]
+            chosen = choose_victims(want, job.rank, inside, lacking, behind, slots, over)
             out = []
             for victim in chosen:
                 attempt = self._book.jobs[victim.job].live.get(victim.task)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -30,3 +30,20 @@
         assert not world.judge.broken
 
     play(scenario())
+
+
+def test_a_task_within_its_guarantee_is_not_stopped_for_a_rank_beyond_one() -> None:
+    """It came first in the order, and so got the room of its own stop, again and again."""
+
+    async def scenario() -> None:
+        world = World(1, replace(SMALL, spot=2, ordinary=0))
+        world.run_s = 40.0
+        await world.submit(job("wk-000001", 2, guess_s=40.0))  # four cores: just the guarantee
+        await world.submit(job("wk-000002", 2, guess_s=40.0, crew="blue"))
+        await world.running(4)
+        await world.submit(job("wk-000003", 2, jobclass="rush", rank="high"))
+        await world.until_over(200.0)
+        assert world.judge.starts == 6
+        assert not world.judge.broken
+
+    play(scenario())
