--- a/petrelthread/rental/plan.py
+++ b/petrelthread/rental/plan.py
@@ -222,6 +222,9 @@
             if room < keep_room - 1e-6 and machine.held < cores:
                 room += cores - machine.held
                 left.remove(machine)
+        if room < keep_room - 1e-6:
+            # More is to come than there is room: what finishing jobs hold is wanted after them.
+            left = [m for m in left if (shape.spot and not m.spot) or not _fits(shape, m)]
         priced = []
         capped = False
         for offer in offers:
--- a/petrelthread/rental/test_plan.py
+++ b/petrelthread/rental/test_plan.py
@@ -95,6 +95,9 @@
     got = plan([flowing, ending], machines, [SPOT], 0.0, Options(), 9)
     assert not got.rents  # what is being emptied still counts as capacity
     assert got.retiring == set(range(8, 20))  # 8 machines with 2 free cores each hold 8 tasks
+    # While more waits than there is room for, every machine takes new tasks.
+    full = [m._replace(held=4.0) if m.machine % 2 else m for m in machines]
+    assert not plan([demand(90, 4000.0), ending], full, [], 0.0, Options(), 9).retiring
     calm = plan([ending], machines, [SPOT], 0.0, Options(), 9)
     assert calm.retiring == set(range(20))
     assert not calm.returns  # none of them idles
