--- a/petrelthread/admin/views.py
+++ b/petrelthread/admin/views.py
@@ -23,7 +23,7 @@
         }
         for name, heard in sorted(node.gossip.heard.items())
     ]
-    use = node.rounds.team_use()
+    use = node.view.team_use()
     backlog: dict[str, dict[str, int]] = {}
     for job in book.open.values():
         entry = backlog.setdefault(
@@ -49,7 +49,7 @@
                 "guaranteed": team.cpus,
                 "limit": team.cpus_max,
             }
-            for at, team in enumerate(node.rounds.teams)
+            for at, team in enumerate(node.view.teams)
         ],
         "backlog": backlog,
     }
@@ -146,12 +146,12 @@
             f"{head}: it failed on {len(job.failed_on)} machines and is tried again in"
             f" {job.not_before - now:.0f} s."
         )
-    team = node.rounds.teams[job.team]
-    used = node.rounds.team_use()[job.team][0]
+    team = node.view.teams[job.team]
+    used = node.view.team_use()[job.team][0]
     if used + job.cores > team.cpus_max + 1e-6:
         return f"{head}: team {team.name} uses {used:g} of its limit of {team.cpus_max:g} cores."
-    free, surplus = node.rounds.slots()
-    want = node.rounds.want(job)
+    free, surplus = node.view.slots()
+    want = node.view.want(job)
     allowed = [s for s in [*free.values(), *surplus] if s.allowed(want)]
     if any(s.fits(want) for s in allowed):
         return f"{head}: there is room; it is placed in the next round."
--- a/petrelthread/controller.py
+++ b/petrelthread/controller.py
@@ -21,7 +21,8 @@
 from petrelthread.ledger import Book, Claims, NamesBook, Outcome
 from petrelthread.peers import Gossip, Hello
 from petrelthread.peers.gossip import HELLO_PATH
-from petrelthread.placement.rounds import Estimates, Rounds
+from petrelthread.placement.rounds import Rounds
+from petrelthread.placement.view import Estimates, View
 from petrelthread.rental import CloudClient, Options
 from petrelthread.rental.keeper import Keeper
 from petrelthread.settings import Settings
@@ -79,14 +80,14 @@
         claims = Claims(state, self.election.fence)
         self._claims = claims
         estimates = Estimates()
+        self.view = View(settings, self.book, self.fleet, lambda: self.keeper.hulls, estimates)
         self.rounds = Rounds(
             settings,
             self.book,
             self.fleet,
             claims,
             Dispatch(self.fleet, commands or request, commands_at_once),
-            lambda: self.keeper.hulls,
-            estimates,
+            self.view,
             self.mirror.fresh,
             lambda now: self._writes.spare(now, CLEAN_UP_KEEPS),
         )
@@ -101,6 +102,7 @@
             claims,
             cloud,
             self.rounds,
+            self.view,
             lambda: self.options,
             lambda: self.election.leading,
             self.zone_watch.down,
@@ -334,7 +336,7 @@
             late_s = max(late_s, now - asked - 0.5)
             if now - told_at > LOAD_EVERY_S:
                 if self.election.leading and log.isEnabledFor(logging.DEBUG):
-                    log.debug("load: %s; late by %.2f s at most", self.rounds.load(), late_s)
+                    log.debug("load: %s; late by %.2f s at most", self.view.load(), late_s)
                 late_s, told_at = 0.0, now
             if self.mirror.loaded.is_set() and now - self.mirror.last_ok > 1.0:
                 await self.mirror.fresh()
--- /dev/null
+++ b/petrelthread/placement/stops.py
@@ -0,0 +1,127 @@
+"""What has to be stopped: to make room, and on machines that the cloud is about to take."""
+
+from __future__ import annotations
+
+import logging
+import math
+import time
+
+from petrelthread import wire
+from petrelthread.fleet import Fleet, Health
+from petrelthread.ledger import Attempt, Book, Op
+from petrelthread.placement.place import Slot, TeamRoom, Want
+from petrelthread.placement.preempt import Victim, choose_victims, served_before
+from petrelthread.placement.view import View
+from petrelthread.settings import Settings
+
+log = logging.getLogger(__name__)
+
+PATIENCE_S = 10.0  # how long a job waits before others are stopped for it,
+PATIENCE_SHARE = 0.2  # or this share of the time in which its class should start
+STOP_S = 5.0  # a stop that takes longer than this holds up no other
+
+
+class Stops:
+    def __init__(self, settings: Settings, book: Book, fleet: Fleet, view: View) -> None:
+        self._book = book
+        self._fleet = fleet
+        self._view = view
+        self._patience: dict[int, float] = {}
+        for objective in settings.cluster.objectives:
+            if objective.kind == "wait":
+                index = book.names.classes.index(objective.jobclass)
+                # A class may have several: the soonest counts. The last one of the file made jobs
+                # that should start within 4 s wait 10 s until room was made for them.
+                patience_s = PATIENCE_SHARE * objective.within_s
+                self._patience[index] = min(patience_s, self._patience.get(index, math.inf))
+
+    def for_room(
+        self,
+        wants: list[Want],
+        guaranteed: dict[int, bool],
+        placed: dict[int, int],
+        teams: list[TeamRoom],
+        slots: dict[int, Slot],
+        use: list[tuple[float, float]],
+        now: float,
+    ) -> list[Attempt]:
+        """Stop work for jobs that had to wait too long; what stops now makes room next round."""
+        victims: list[Victim] | None = None
+        for want in wants:
+            job = self._book.jobs[want.job]
+            # A job that still gets room as it falls free does not need others to be stopped.
+            waiting_s = time.time() - max(job.accepted_at, job.last_start_at)
+            lacking = min(want.pending - placed.get(want.job, 0), teams[want.team].most(want))
+            patience_s = self._patience.get(job.jobclass, PATIENCE_S)
+            if lacking <= 0 or waiting_s < patience_s or want.same_place or want.scatter:
+                continue
+            if job.rank < wire.RANKS["high"] and not guaranteed[want.job]:
+                continue
+            if victims is None:
+                if self._stopping(now):
+                    return []  # let the room made so far be used first
+                victims = self._victims(now)
+                full, surplus = self._view.slots()
+                slots = {**{slot.machine: slot for slot in surplus}, **full, **slots}
+            over = [u[0] - t.cpus for u, t in zip(use, self._view.teams, strict=False)]
+            inside = guaranteed[want.job]
+            behind = [v for v in victims if served_before(job.rank, inside, v, guaranteed)]
+            chosen = choose_victims(want, job.rank, inside, lacking, behind, slots, over)
+            out = []
+            for victim in chosen:
+                attempt = self._book.jobs[victim.job].live.get(victim.task)
+                if attempt is not None:
+                    out.append(attempt)
+                    log.info(
+                        "stopping %s/%d to make room for %s", attempt.job.id, attempt.task, job.id
+                    )
+            if out:
+                return out
+        return []
+
+    def _stopping(self, now: float) -> bool:
+        return any(
+            attempt.halted_at and not attempt.ended and now - attempt.halted_at < STOP_S
+            for there in self._book.on_machine.values()
+            for attempt in there.values()
+        )
+
+    def _victims(self, now: float) -> list[Victim]:
+        out = []
+        for there in self._book.on_machine.values():
+            for attempt in there.values():
+                job = attempt.job
+                if attempt.state is not Op.CONFIRMED or attempt.ended or attempt.halted_at:
+                    continue
+                if job.gang:
+                    continue  # to stop one would lose them all
+                ran_s = now - attempt.running_at if attempt.running_at else 0.0
+                out.append(
+                    Victim(
+                        job.index,
+                        attempt.task,
+                        job.team,
+                        job.rank,
+                        attempt.machine,
+                        job.cores,
+                        job.accelerators,
+                        job.ram_gb,
+                        ran_s,
+                    )
+                )
+        return out
+
+    def drain(self, now: float) -> list[Attempt]:
+        """On machines that the cloud will take, what cannot complete in time."""
+        out = []
+        for machine in self._fleet.machines.values():
+            if machine.health is not Health.DRAINING or machine.notice_s is None:
+                continue
+            left_s = machine.notice_s - (now - machine.notice_at)
+            for attempt in self._fleet.attempts(machine).values():
+                if attempt.ended or attempt.halted_at:
+                    continue
+                ran_s = now - attempt.running_at if attempt.running_at else 0.0
+                if self._view.estimates.run_s(attempt.job) - ran_s > max(left_s, 0.0):
+                    out.append(attempt)
+        return out
--- /dev/null
+++ b/petrelthread/placement/view.py
@@ -0,0 +1,227 @@
+"""What there is and what is wanted, as the leader sees it now. Nothing here changes anything."""
+
+from __future__ import annotations
+
+import math
+import time
+from collections.abc import Callable
+
+from petrelthread import wire
+from petrelthread.fleet import Fleet, Health
+from petrelthread.ledger import Book, Job
+from petrelthread.placement.order import Standing, Turn, order
+from petrelthread.placement.place import EPS, Slot, Want
+from petrelthread.settings import Settings
+
+USUAL_SPREAD = 0.3  # of run times against estimates, until some are seen
+AT_WORK = 0.85  # of all cores: the rest fetch images, wait for a round or fit no task
+
+
+class Estimates:
+    """How much longer than their owners' estimates the tasks of each class really run."""
+
+    def __init__(self) -> None:
+        self._ratio: dict[int, float] = {}
+        self._variance: dict[int, float] = {}
+        self._seen: dict[int, int] = {}
+
+    def learn(self, job: Job, ran_s: float) -> None:
+        if job.guess_s <= 0:
+            return
+        ratio = min(10.0, max(0.1, ran_s / job.guess_s))
+        seen = self._seen[job.jobclass] = min(50, self._seen.get(job.jobclass, 0) + 1)
+        old = self._ratio.get(job.jobclass, 1.0)
+        self._ratio[job.jobclass] = old + (ratio - old) / (seen + 2)
+        variance = self._variance.get(job.jobclass, USUAL_SPREAD**2)
+        self._variance[job.jobclass] = variance + ((ratio - old) ** 2 - variance) / (seen + 2)
+
+    def run_s(self, job: Job) -> float:
+        return max(0.5, job.guess_s * self._ratio.get(job.jobclass, 1.0))
+
+    def tail_s(self, job: Job) -> float:
+        """How much longer the last of a job's tasks is likely to run. One alone has no tail."""
+        if job.tasks < 2:
+            return 0.0
+        variance = self._variance.get(job.jobclass, USUAL_SPREAD**2)
+        return min(job.guess_s, 1.5 * math.sqrt(variance) * job.guess_s)
+
+
+class View:
+    def __init__(
+        self,
+        settings: Settings,
+        book: Book,
+        fleet: Fleet,
+        hulls: Callable[[], dict[int, wire.Hull]],
+        estimates: Estimates,
+    ) -> None:
+        self._book = book
+        self._fleet = fleet
+        self._hulls = hulls
+        self.estimates = estimates
+        self.teams = settings.cluster.teams
+        self._guarantees = [(t.cpus, t.gpus) for t in self.teams]
+        self._within: dict[int, list[float]] = {}  # by class: seconds to be done in
+        self._times: dict[int, list[float]] = {}  # by class: multiples of the deadline
+        for objective in settings.cluster.objectives:
+            index = book.names.classes.index(objective.jobclass)
+            if objective.kind == "finished" and objective.within_s > 0:
+                self._within.setdefault(index, []).append(objective.within_s)
+            elif objective.kind == "deadline":
+                self._times.setdefault(index, []).append(objective.times)
+
+    def slots(self, least_cores: float = 0.0) -> tuple[dict[int, Slot], list[Slot]]:
+        """What is free, by machine; and on surplus spot machines, for what fits nowhere else.
+
+        ``least_cores``: machines with fewer free cores are left out.
+        """
+        out: dict[int, Slot] = {}
+        surplus: list[Slot] = []
+        hulls = self._hulls()
+        for machine in self._fleet.machines.values():
+            hull = hulls.get(machine.type)
+            if hull is None:
+                continue
+            taken = self._book.use.machine(machine.index)
+            cores = hull.cores - taken.cores
+            if cores + EPS < least_cores or not self._fleet.may_serve(machine):
+                continue
+            images = set(machine.images)
+            for attempt in self._fleet.attempts(machine).values():
+                if not attempt.ended:
+                    images.add(attempt.job.image)
+            slot = Slot(
+                machine.index,
+                machine.type,
+                machine.zone,
+                machine.spot,
+                cores,
+                hull.accelerators - taken.accelerators,
+                hull.ram_gb - taken.ram_gb,
+                images,
+            )
+            if not machine.retiring:
+                out[machine.index] = slot
+            elif machine.spot:
+                surplus.append(slot)
+        return out, surplus
+
+    def team_use(self) -> list[tuple[float, float]]:
+        """What each team's tasks use or may be using, wherever they are."""
+        taken = (self._book.use.team(team) for team in range(len(self._book.names.teams)))
+        return [(team.cores, team.accelerators) for team in taken]
+
+    def load(self) -> str:
+        """What the machines are doing, on one line for the log."""
+        hulls = self._hulls()
+        up = booting = retiring = 0.0
+        for machine in self._fleet.machines.values():
+            hull = hulls.get(machine.type)
+            cores = hull.cores if hull else 0.0
+            if machine.open:
+                up += cores
+                retiring += cores if machine.retiring else 0.0
+            elif machine.health is Health.BOOTING:
+                booting += cores
+        running = starting = 0.0
+        for there in self._book.on_machine.values():
+            for attempt in there.values():
+                if attempt.running_at and not attempt.ended:
+                    running += attempt.job.cores
+                elif not attempt.ended:
+                    starting += attempt.job.cores
+        waiting = sum(job.pending * job.cores for job in self._book.open.values())
+        return (
+            f"cores up {up:.0f} (retiring {retiring:.0f}), booting {booting:.0f}; running"
+            f" {running:.0f}, starting {starting:.0f}, waiting {waiting:.0f}"
+        )
+
+    def goals(self, job: Job) -> tuple[float, ...]:
+        """When its class's objectives want the job to be done, the soonest first."""
+        if job.due_s is not None:
+            within = [job.due_s * times for times in self._times.get(job.jobclass, [1.0])]
+        else:
+            within = self._within.get(job.jobclass, [])
+        return tuple(job.accepted_at + seconds for seconds in sorted(within))
+
+    def waves(self, job: Job, tasks: int) -> int:
+        team = self.teams[job.team]
+        most = float(job.tasks)
+        if job.cores > 0:
+            most = min(most, team.cpus_max // job.cores)
+        if job.accelerators > 0:
+            most = min(most, team.gpus_max // job.accelerators)
+        return math.ceil(tasks / max(1.0, most))
+
+    def path_s(self, job: Job) -> float:
+        """How long the job still takes at best, with its team's limit for itself."""
+        run_s = self.estimates.run_s(job)
+        team = self.teams[job.team]
+        left = job.tasks - job.done - len(self._fleet.finished.get(job.index, ()))
+        share = 0.0
+        if job.cores > 0:
+            share = max(share, left * job.cores / team.cpus_max)
+        if job.accelerators > 0:
+            share = max(share, left * job.accelerators / team.gpus_max)
+        return run_s * share
+
+    def cores(self) -> float:
+        """That all jobs share, as far as they can be kept at work; infinite if none are known."""
+        total = 0.0
+        hulls = self._hulls()
+        for machine in self._fleet.machines.values():
+            hull = hulls.get(machine.type)
+            if hull is not None and (machine.open or machine.health is Health.BOOTING):
+                total += hull.cores
+        return total * AT_WORK or math.inf
+
+    def turns(self) -> list[Turn]:
+        standings = []
+        for job in self._book.open.values():
+            left = job.tasks - job.done
+            run_s = self.estimates.run_s(job)
+            live = len(job.live)
+            standings.append(
+                Standing(
+                    job.index,
+                    job.team,
+                    job.rank,
+                    job.accepted_at,
+                    self.goals(job),
+                    self.path_s(job),
+                    job.tasks * job.cores,
+                    job.tasks * job.accelerators,
+                    run_s,
+                    self.estimates.tail_s(job),
+                    min(left * job.cores, self.teams[job.team].cpus_max),
+                    (left - live / 2) * run_s * job.cores,
+                    live > 0 or job.done > 0,
+                )
+            )
+        return order(standings, self._guarantees, time.time(), self.cores())
+
+    def want(self, job: Job) -> Want:
+        live_zones: dict[int, int] = {}
+        if job.same_place or job.scatter:
+            for attempt in job.live.values():
+                machine = self._fleet.machines.get(attempt.machine)
+                if machine is not None and not attempt.ended:
+                    live_zones[machine.zone] = live_zones.get(machine.zone, 0) + 1
+        return Want(
+            job.index,
+            job.team,
+            job.tasks,
+            job.pending,
+            job.cores,
+            job.accelerators,
+            job.ram_gb,
+            job.image,
+            job.types,
+            job.zone,
+            job.spot,
+            job.same_place,
+            job.scatter,
+            live_zones,
+            frozenset(job.failed_on),
+            job.gang,
+        )
--- a/petrelthread/rental/keeper.py
+++ b/petrelthread/rental/keeper.py
@@ -12,6 +12,7 @@
 from petrelthread.fleet import Fleet, Health, Machine
 from petrelthread.ledger import Book, Claims, Op, Outcome, move
 from petrelthread.placement.rounds import Rounds
+from petrelthread.placement.view import View
 from petrelthread.rental.cloud import CloudClient, CloudDown, CloudUnsure, NoCapacity
 from petrelthread.rental.plan import (
     Demand,
@@ -60,6 +61,7 @@
         claims: Claims,
         cloud: CloudClient,
         rounds: Rounds,
+        view: View,
         options: Callable[[], Options],
         leading: Callable[[], bool],
         zones_down: Collection[int] = (),
@@ -70,6 +72,7 @@
         self._claims = claims
         self._cloud = cloud
         self._rounds = rounds
+        self._view = view
         self._options = options
         self._leading = leading
         self._zones_down = zones_down
@@ -237,10 +240,10 @@
         return sum(cores for _, cores in self._accepted) / window * boot
 
     def _demands(self, now: float) -> list[Demand]:
-        left = [[team.cpus_max, team.gpus_max] for team in self._rounds.teams]
+        left = [[team.cpus_max, team.gpus_max] for team in self._view.teams]
         out = []
         wall = time.time()
-        for index, _, due_at, _ in self._rounds.turns():
+        for index, _, due_at, _ in self._view.turns():
             job = self._book.jobs[index]
             unfinished = job.tasks - job.done - len(self._fleet.finished.get(job.index, ()))
             if unfinished <= 0 or now < job.not_before:
@@ -254,7 +257,7 @@
             tasks = max(tasks, 0)
             room[0] -= tasks * job.cores
             room[1] -= tasks * job.accelerators
-            run_s = self._rounds.estimates.run_s(job)
+            run_s = self._view.estimates.run_s(job)
             work_s = unfinished * run_s
             for attempt in job.live.values():
                 if attempt.running_at:
