--- a/petrelthread/placement/order.py
+++ b/petrelthread/placement/order.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 LATE_S = 1e6  # what is late anyway comes after all that is not
+SLACK_S = 70.0  # jobs that have to begin within this come before late ones that outlast the backlog
 BEGIN_S = 150.0  # a job has begun by then, however late: users expect it within four minutes
 
 
@@ -180,7 +181,7 @@
         groups.setdefault((not inside[standing.job], -standing.rank), []).append(standing)
     queue = Queue(cores, now)
     # What is late anyway comes last, unless it alone would go on when all else is done: held back
-    # by its team's limit, it has to go on meanwhile.
+    # by its team's limit, it has to go on meanwhile, behind what has little time left to begin.
     drained_at = now + sum(s.work_s for s in jobs) / cores
     turns: list[Turn] = []
     for _, members in sorted(groups.items()):
@@ -189,7 +190,7 @@
         for s in members:
             begin = goals.get(s.job, now + LATE_S) - s.least_s
             if s.job not in goals and now + s.least_s > drained_at:
-                begin = drained_at - s.least_s
+                begin = now + SLACK_S
             if not s.begun:
                 begin = min(begin, s.accepted_at + BEGIN_S)
             begins.append((begin, s.accepted_at, s.job, s))
--- a/petrelthread/placement/test_place.py
+++ b/petrelthread/placement/test_place.py
@@ -166,9 +166,10 @@
         standing(0, 0, 1, 0.0, [300.0], 5.0)._replace(work_s=1000.0, begun=True),
         standing(1, 1, 1, 0.0, [100.0], 216.0)._replace(work_s=500.0, begun=True),
         standing(2, 2, 1, 0.0, [50.0], 90.0)._replace(work_s=500.0, begun=True),
+        standing(3, 3, 1, 0.0, [80.0], 20.0)._replace(begun=True),  # has to begin within 40 s
     ]
-    got = order(jobs, [(8.0, 0.0)] * 3, 20.0, 10.0)  # all done in 200 s
-    assert [turn.job for turn in got] == [1, 0, 2]
+    got = order(jobs, [(8.0, 0.0)] * 4, 20.0, 10.0)  # all done in 200 s
+    assert [turn.job for turn in got] == [3, 1, 0, 2]
 
 
 def test_the_longest_of_a_team_gives_way_and_gets_its_next_goal() -> None:
