--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -136,6 +136,27 @@
     run(scenario, THREE_ZONES)
 
 
+def test_a_roll_and_a_leader_that_stands_still_beyond_its_lease() -> None:
+    """What reaches the old leader while it stands still is as old as that when it goes on."""
+
+    async def scenario(world: World, load: Load) -> None:
+        for name in world.made_of.nodes:
+            world.crash(name)
+            await asyncio.sleep(3.0)
+            world.boot(name)
+        await settled(world)
+        old = await world.led()
+        others = {"state", "cloud", "user", *world.made_of.nodes, *world.cloud.machines} - {old}
+        still = {frozenset((old, other)) for other in others}
+        world.net.cut |= still
+        await asyncio.sleep(world.workers.lease_s + 6.0)
+        world.net.cut -= still
+        await settled(world)
+        assert world.leader is not None and world.leader != old
+
+    run(scenario, ONE_ZONE)
+
+
 def test_a_report_that_changes_nothing_looks_only_at_its_own_machine() -> None:
     async def scenario() -> None:
         world = World(1)
