--- a/petrelthread/admin/views.py
+++ b/petrelthread/admin/views.py
@@ -47,7 +47,7 @@
                 "team": team.name,
                 "cores": use[at][0],
                 "guaranteed": team.cpus,
-                "limit": team.cpus_max,
+                "limit": team.cpus_max or None,
             }
             for at, team in enumerate(node.view.teams)
         ],
@@ -148,7 +148,7 @@
         )
     team = node.view.teams[job.team]
     used = node.view.team_use()[job.team][0]
-    if used + job.cores > team.cpus_max + 1e-6:
+    if used + job.cores > team.most_cores + 1e-6:
         return f"{head}: team {team.name} uses {used:g} of its limit of {team.cpus_max:g} cores."
     free, surplus = node.view.slots()
     want = node.view.want(job)
--- a/petrelthread/cli/operate.py
+++ b/petrelthread/cli/operate.py
@@ -107,9 +107,9 @@
         )
     for t in got["teams"]:
         if t["cores"]:
+            limit = "no limit" if t["limit"] is None else f"limit {t['limit']:g}"
             lines.append(
-                f"team {t['team']}: {t['cores']:g} cores"
-                f" (guaranteed {t['guaranteed']:g}, limit {t['limit']:g})"
+                f"team {t['team']}: {t['cores']:g} cores (guaranteed {t['guaranteed']:g}, {limit})"
             )
     # One screen: after a take-over there may be one for each of hundreds of machines.
     oldest = sorted(got["operations"], key=lambda op: -op["age_s"])
--- a/petrelthread/cli/test_operate.py
+++ b/petrelthread/cli/test_operate.py
@@ -27,7 +27,8 @@
     "teams": [
         {"team": f"team-{n:02d}", "cores": 100.0, "guaranteed": 180.0, "limit": 500.0}
         for n in range(16)
-    ],
+    ]
+    + [{"team": "guests", "cores": 8.0, "guaranteed": 0.0, "limit": None}],
     "backlog": {"plan": {"jobs": 9, "waiting": 20, "running": 100}},
 }
 
@@ -50,6 +51,7 @@
     assert main(["status"]) == 0
     lines = capsys.readouterr().out.splitlines()
     assert len(lines) < 40
+    assert any("team guests" in line and "no limit" in line for line in lines)
     assert any("2 hears nothing" in line for line in lines)
     assert any("host-383" in line for line in lines)  # the oldest is shown,
     assert any("376 more" in line for line in lines)  # and the others are counted
--- a/petrelthread/intake/checks.py
+++ b/petrelthread/intake/checks.py
@@ -23,9 +23,9 @@
     # Of an array one task has to fit the limit: the others can run after it.
     at_once = 1 if spec.shape == ARRAY else spec.legs
     cores, accelerators = at_once * spec.cores, at_once * spec.accelerators
-    if cores > team.cpus_max + EPS:
+    if cores > team.most_cores + EPS:
         raise CannotRun(f"takes {cores:g} cores at once, team limit is {team.cpus_max:g}")
-    if accelerators > team.gpus_max + EPS:
+    if accelerators > team.most_accelerators + EPS:
         raise CannotRun(
             f"takes {accelerators:g} accelerators at once, team limit is {team.gpus_max:g}"
         )
--- a/petrelthread/placement/rounds.py
+++ b/petrelthread/placement/rounds.py
@@ -96,7 +96,7 @@
         free = list(slots.values())
         use = self._view.team_use()
         teams = [
-            TeamRoom(team.cpus_max - use[i][0], team.gpus_max - use[i][1])
+            TeamRoom(team.most_cores - use[i][0], team.most_accelerators - use[i][1])
             for i, team in enumerate(self._view.teams)
         ]
         clock = asyncio.get_running_loop().time
--- a/petrelthread/placement/view.py
+++ b/petrelthread/placement/view.py
@@ -148,9 +148,9 @@
         team = self.teams[job.team]
         most = float(job.tasks)
         if job.cores > 0:
-            most = min(most, team.cpus_max // job.cores)
+            most = min(most, team.most_cores // job.cores)
         if job.accelerators > 0:
-            most = min(most, team.gpus_max // job.accelerators)
+            most = min(most, team.most_accelerators // job.accelerators)
         return math.ceil(tasks / max(1.0, most))
 
     def path_s(self, job: Job) -> float:
@@ -160,9 +160,9 @@
         left = job.tasks - job.done - len(self._fleet.finished.get(job.index, ()))
         share = 0.0
         if job.cores > 0:
-            share = max(share, left * job.cores / team.cpus_max)
+            share = max(share, left * job.cores / team.most_cores)
         if job.accelerators > 0:
-            share = max(share, left * job.accelerators / team.gpus_max)
+            share = max(share, left * job.accelerators / team.most_accelerators)
         return run_s * share
 
     def cores(self) -> float:
@@ -193,7 +193,7 @@
                     job.tasks * job.accelerators,
                     run_s,
                     self.estimates.tail_s(job),
-                    min(left * job.cores, self.teams[job.team].cpus_max),
+                    min(left * job.cores, self.teams[job.team].most_cores),
                     (left - live / 2) * run_s * job.cores,
                     live > 0 or job.done > 0,
                 )
--- a/petrelthread/rental/keeper.py
+++ b/petrelthread/rental/keeper.py
@@ -240,7 +240,7 @@
         return sum(cores for _, cores in self._accepted) / window * boot
 
     def _demands(self, now: float) -> list[Demand]:
-        left = [[team.cpus_max, team.gpus_max] for team in self._view.teams]
+        left = [[team.most_cores, team.most_accelerators] for team in self._view.teams]
         out = []
         wall = time.time()
         for index, _, due_at, _ in self._view.turns():
--- a/petrelthread/settings/__init__.py
+++ b/petrelthread/settings/__init__.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+UNLIMITED = 1e12  # more than any deployment has; finite, so that shares and counts stay numbers
+
 
 class SettingsError(Exception):
     """The settings file cannot be used; the text names file, field and reason."""
@@ -31,6 +33,16 @@
     gpus: float = 0.0
     gpus_max: float = 0.0
 
+    # DEPLOY: "0 means none". A guest team has neither guarantee nor limit; read as a limit of
+    # nothing, each of its jobs was answered with 422.
+    @property
+    def most_cores(self) -> float:
+        return self.cpus_max or UNLIMITED
+
+    @property
+    def most_accelerators(self) -> float:
+        return self.gpus_max or UNLIMITED
+
 
 class Objective(msgspec.Struct, frozen=True, rename={"jobclass": "class"}):
     kind: str
--- a/petrelthread/settings/test_settings.py
+++ b/petrelthread/settings/test_settings.py
@@ -17,6 +17,15 @@
     assert 0 < settings.hold_over_s < workers.cancel_s - workers.lease_s
 
 
+def test_a_team_without_a_limit_has_none() -> None:
+    """DEPLOY: "0 means none". Guests' jobs were all refused as beyond a limit of 0 cores."""
+    guest = parse(GOOD).cluster.teams[-1]
+    assert (guest.name, guest.cpus, guest.cpus_max) == ("guest", 0.0, 0.0)
+    assert guest.most_cores > 1e9
+    assert guest.most_accelerators > 1e9
+    assert parse(GOOD).cluster.teams[0].most_cores == 12.0
+
+
 @pytest.mark.parametrize(
     ("old", "new", "said"),
     [
--- a/tests/world.py
+++ b/tests/world.py
@@ -45,6 +45,8 @@
 name = "blue"
 cpus = 4.0
 cpus_max = 12.0
+[[cluster.teams]]
+name = "guest"
 [[cluster.objectives]]
 kind = "finished"
 class = "batch"
@@ -435,9 +437,9 @@
                 entry["status"] = "running"
                 entry["at"] = now
                 self.world.judge.started(leg, self.machine, now)
-                if self.faulty:
+                if self.faulty or leg.rpartition("/")[0] in self.world.mistaken:
                     self._end(leg, entry, "error")
-            elif entry["status"] == "running" and now >= entry["at"] + self.world.run_s:
+            elif entry["status"] == "running" and now >= entry["at"] + self.world.ran_s(leg):
                 self._end(leg, entry, "done")
 
     def _end(self, leg: str, entry: dict[str, Any], cause: str) -> None:
@@ -608,9 +610,11 @@
         self.made_of = made_of
         cluster = made_of.settings_of(made_of.nodes[0]).cluster
         self.workers, self.state_limits = cluster.workers, cluster.state
-        self.limits = {team.name: team.cpus_max for team in cluster.teams}
+        self.limits = {team.name: team.most_cores for team in cluster.teams}
         self.random = random.Random(seed)
         self.run_s = 5.0
+        self.run_s_of: dict[str, float] = {}  # by job, where it is not run_s
+        self.mistaken: set[str] = set()  # jobs that fail on every machine
         self.jobs: dict[str, dict[str, Any]] = {}
         self.judge = Judge(self)
         self.net = Net(self)
@@ -629,6 +633,9 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def ran_s(self, leg: str) -> float:
+        return self.run_s_of.get(leg.rpartition("/")[0], self.run_s)
+
     # ---- controllers -------------------------------------------------------------------------
 
     def boot(self, name: str) -> None:
