Judge broken jobs and faulty machines together; try suspect jobs one task at a time

Cause (code, confirmed by a scenario): failures of two different jobs made a machine faulty, so two jobs submitted with a mistake had every healthy machine returned; after its back-off such a job started all its tasks again, was planned for, ordered and rented for. Failing tasks of other jobs come last.

--- a/petrelthread/admin/views.py
+++ b/petrelthread/admin/views.py
@@ -141,11 +141,16 @@
             return f"{done}; {waiting} starting, fetching image {image} ({job.size_gb:g} GB)."
         return f"{done}; nothing waits."
     head = f"{done}, {job.pending} waiting"
-    if now < job.not_before:
+    failed_on = len(node.fleet.failures.failed_on(job.index))
+    again = f"tried again in {job.not_before - now:.0f} s"
+    if node.fleet.suspect(job):
         return (
-            f"{head}: it failed on {len(job.failed_on)} machines and is tried again in"
-            f" {job.not_before - now:.0f} s."
+            f"{head}: it fails everywhere, on {failed_on} machines since"
+            f" {now - job.suspect_since:.0f} s, and has never completed a task; one task is"
+            f" {again if now < job.not_before else 'being tried'}."
         )
+    if now < job.not_before:
+        return f"{head}: all that waits has failed before, on {failed_on} machines; {again}."
     team = node.view.teams[job.team]
     used = node.view.team_use()[job.team][0]
     if used + job.cores > team.most_cores + 1e-6:
--- a/petrelthread/fleet/machine.py
+++ b/petrelthread/fleet/machine.py
@@ -32,8 +32,6 @@
         "charter",
         "deaf",
         "epoch_heard",
-        "errors",
-        "errors_of",
         "fault",
         "health",
         "heard_at",
@@ -98,8 +96,6 @@
         # Attempts that an unanswered direct command may still start, with its token.
         self.unsure: dict[tuple[int, int, int], int] = {}
         self.images: dict[int, float] = {}  # cached images in order of last use, with their size
-        self.errors_of: set[int] = set()  # jobs whose tasks failed here since a task last completed
-        self.errors = 0  # and how many failures that were
         self.fault = ""
         self.retiring = False  # surplus: gets nothing new as long as that lasts
 
--- a/petrelthread/fleet/table.py
+++ b/petrelthread/fleet/table.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from petrelthread import wire
+from petrelthread.fleet.failures import SUSPECT_ON, Failures, Trust
 from petrelthread.fleet.machine import Health, Machine
 from petrelthread.ledger import Attempt, Book, Job, Op, move
 
@@ -14,8 +15,6 @@
 
 DRIFT = 1.002
 BEFORE_RUNNING = ("", wire.FETCHING, wire.GATHERING)
-ERRORS_OF_JOBS = 2  # different jobs failing on a machine make it faulty
-ERRORS_IN_A_ROW = 2  # so do failures of one job that completes elsewhere
 IGNORED_MOST = 3  # reports in a row without what they were told to start: it hears nothing
 JOB_BACKOFF_S = 5.0
 JOB_BACKOFF_MOST_S = 60.0
@@ -30,7 +29,8 @@
         self.report_s = report_s
         self.hold_over_s = hold_over_s
         self.machines: dict[int, Machine] = {}
-        self.finished: dict[int, list[int]] = {}  # done, not yet durable: job to tasks
+        self.failures = Failures()
+        self.finished: dict[int, set[int]] = {}  # done, not yet durable: job to tasks
         self.epoch = 0
         self.elected_at = 0.0
         self.on_change: Callable[[], None] = lambda: None
@@ -63,6 +63,10 @@
         self.epoch = epoch
         self.elected_at = now
         self.finished.clear()  # workers report again what is not durable
+        self.failures.clear()
+        for job in self.book.open.values():
+            if job.done:
+                self.failures.prove(job.index)
         for index in self.book.on_machine:
             self.machine(self.book.names.machines.name(index), now)
         for machine in list(self.machines.values()):
@@ -235,6 +239,7 @@
         """An attempt that the book does not hold for this machine."""
         if leg.status == wire.ENDED:
             if leg.cause == wire.CAUSE_DONE and not job.service:
+                self._completed(machine, job, task)
                 self._finish(job, task)
             return
         if job.final is None and job.states[task] == 0:
@@ -246,9 +251,10 @@
 
     def _finish(self, job: Job, task: int) -> None:
         if job.final is None and job.states[task] != 2:
-            tasks = self.finished.setdefault(job.index, [])
+            # A set: to look each task up in a list took minutes with an array of 25,000.
+            tasks = self.finished.setdefault(job.index, set())
             if task not in tasks:
-                tasks.append(task)
+                tasks.add(task)
                 self.on_change()
 
     def _shown(self, machine: Machine, attempt: Attempt, leg: wire.Leg, now: float) -> None:
@@ -267,8 +273,7 @@
             return
         self.on_change()
         if leg.cause == wire.CAUSE_DONE and not job.service:
-            machine.errors_of.clear()
-            machine.errors = 0
+            self._completed(machine, job, attempt.task)
             machine.use_image(job.image, job.size_gb, self.cache_gb(machine.type))
             if attempt.running_at:
                 self.on_class_time(job, now - attempt.running_at)
@@ -278,7 +283,7 @@
                 self.book.release(attempt, done=True)
             return
         if leg.cause == wire.CAUSE_ERROR:
-            self._failed(machine, job, now)
+            self._failed(machine, job, attempt.task, now)
         elif leg.cause in (wire.CAUSE_FULL, wire.CAUSE_IN_USE, wire.CAUSE_UNKNOWN):
             log.info("machine %s refused %s/%d: %s", machine.name, job.id, attempt.task, leg.cause)
             job.not_before = max(job.not_before, now + 1.0)
@@ -286,25 +291,50 @@
         # command can start this attempt again.
         self._over(attempt, f"ended: {leg.cause}")
 
-    def _failed(self, machine: Machine, job: Job, now: float) -> None:
-        machine.errors_of.add(job.index)
-        machine.errors += 1
-        job.failed_on.add(machine.index)
-        log.info("task of %s failed on %s", job.id, machine.name)
-        elsewhere = job.done > 0 or job.index in self.finished
-        if machine.fault:
-            return
-        if len(machine.errors_of) >= ERRORS_OF_JOBS:
-            machine.fault = "different jobs fail on it"
-        elif machine.errors >= ERRORS_IN_A_ROW and elsewhere:
-            machine.fault = "a job that completes elsewhere fails on it"
-        if machine.fault:
-            log.info("machine %s is faulty: %s", machine.name, machine.fault)
-            return
-        if len(job.failed_on) >= 3 and not elsewhere:
+    def suspect(self, job: Job) -> bool:
+        """It fails on every machine: one task at a time is tried, and nothing waits for it."""
+        return self.failures.trust(job.index) is Trust.SUSPECT
+
+    def _completed(self, machine: Machine, job: Job, task: int) -> None:
+        was_suspect = self.suspect(job)
+        for index in self.failures.completed(job.index, machine.index):
+            self._at_fault(index)
+        job.failing.discard(task)
+        if job.backoff_s:
+            job.backoff_s = job.not_before = 0.0
+        if was_suspect:
+            log.info("job %s completes tasks after all", job.id)
+
+    def _failed(self, machine: Machine, job: Job, task: int, now: float) -> None:
+        log.info("task %d of %s failed on %s", task, job.id, machine.name)
+        job.failing.add(task)
+        was_suspect = self.suspect(job)
+        for index in self.failures.failed(job.index, machine.index):
+            self._at_fault(index)
+        suspect = self.suspect(job)
+        if suspect and not was_suspect:
+            job.suspect_since = now
+            log.warning(
+                "job %s fails everywhere, on %d machines, and has never completed a task:"
+                " one task at a time is tried until it does or is cancelled",
+                job.id,
+                len(self.failures.failed_on(job.index)),
+            )
+        if now < job.not_before:
+            return  # a batch that fails together counts once
+        alone = len(self.failures.failed_on(job.index)) >= SUSPECT_ON and all(
+            other in job.failing for other in job.pending_tasks()
+        )
+        if suspect or alone:
             job.backoff_s = min(JOB_BACKOFF_MOST_S, max(JOB_BACKOFF_S, job.backoff_s * 2))
             job.not_before = now + job.backoff_s
 
+    def _at_fault(self, index: int) -> None:
+        machine = self.machines.get(index)
+        if machine is not None and not machine.fault:
+            machine.fault = self.failures.faulty[index]
+            log.info("machine %s is faulty: %s", machine.name, machine.fault)
+
     def _not_shown(
         self, machine: Machine, report: wire.Report, attempt: Attempt, now: float
     ) -> None:
@@ -386,6 +416,9 @@
 
     def tick_silence(self, now: float, silent_s: float) -> None:
         up = [m for m in self.machines.values() if m.health in (Health.UP, Health.DRAINING)]
+        for job in self.failures.unproven():
+            if self.book.jobs[job].final is not None:
+                self.failures.over(job)
         # If most seem deaf, it is rather our own voice that does not carry.
         many = 2 * sum(bool(m.deaf) for m in up) > max(2, len(up))
         for machine in list(self.machines.values()):
--- /dev/null
+++ b/petrelthread/fleet/test_failures.py
@@ -0,0 +1,102 @@
+"""The judgement of broken job against faulty machine, compared with a slow plain model."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from petrelthread.fleet.failures import IN_A_ROW, SPREAD_MOST, SUSPECT_ON, Failures, Trust
+
+Event = tuple[str, int, int]  # failed, done or over; job; machine
+
+
+def model(events: list[Event]) -> tuple[set[int], set[int]]:
+    """Faulty machines and suspect jobs, from the whole history anew after every event."""
+    faulty: set[int] = set()
+    suspect: set[int] = set()
+    for end in range(1, len(events) + 1):
+        past = events[:end]
+        proven = {job for what, job, _ in past if what == "done"}
+        ended = {
+            job: at
+            for at, (what, job, _) in enumerate(past)
+            if what == "over" and job not in proven
+        }
+        counted = [
+            (what, job, machine)
+            for at, (what, job, machine) in enumerate(past)
+            if what != "over" and not (what == "failed" and at < ended.get(job, -1))
+        ]
+        on = {job: {m for w, j, m in counted if w == "failed" and j == job} for _, job, _ in past}
+        what, job, machine = past[-1]
+        if what == "failed":
+            looked_at = [machine]
+        elif what == "done" and job not in {j for w, j, _ in past[:-1] if w == "done"}:
+            looked_at = sorted(on[job])
+        else:
+            looked_at = []
+        for place in looked_at:
+            since: list[int] = []
+            for w, j, m in counted:
+                if m == place:
+                    since = [] if w == "done" else [*since, j]
+            from_proven = [j for j in since if j in proven]
+            narrow = all(len(on[j] - faulty) <= SPREAD_MOST for j in from_proven)
+            bad = len(set(from_proven)) > 1 or len(from_proven) >= IN_A_ROW
+            if bad or (len(from_proven) > 1 and narrow):
+                faulty.add(place)
+        suspect = {j for j in on if j not in proven and len(on[j] - faulty) >= SUSPECT_ON}
+    return faulty, suspect
+
+
+@pytest.mark.parametrize("block", range(4))
+def test_like_the_plain_model(block: int) -> None:
+    seen = [0, 0]
+    for seed in range(block * 100, block * 100 + 100):
+        chance = random.Random(seed)
+        broken, bad = {0, 1}, set(chance.sample(range(8), chance.randint(0, 3)))
+        failures, events, open_jobs = Failures(), list[Event](), list(range(6))
+        for _ in range(chance.randint(5, 40)):
+            job, machine = chance.choice(open_jobs), chance.randrange(8)
+            ill = job in broken or machine in bad or chance.random() < 0.1
+            event: Event = ("failed" if ill else "done", job, machine)
+            events.append(event)
+            failures.failed(job, machine) if ill else failures.completed(job, machine)
+            if chance.random() < 0.05 and len(open_jobs) > 1:
+                open_jobs.remove(job)
+                events.append(("over", job, -1))
+                failures.over(job)
+        faulty, suspect = model(events)
+        assert set(failures.faulty) == faulty, (seed, events)
+        assert {j for j in range(6) if failures.trust(j) is Trust.SUSPECT} == suspect, seed
+        seen[0] += bool(faulty)
+        seen[1] += bool(suspect)
+    assert min(seen) > 20
+
+
+def test_two_broken_jobs_make_no_machine_look_faulty() -> None:
+    failures = Failures()
+    for machine in range(20):
+        assert not failures.failed(0, machine)
+        assert not failures.failed(1, machine)
+    assert {failures.trust(0), failures.trust(1)} == {Trust.SUSPECT}
+
+
+def test_a_job_that_met_faulty_machines_alone_is_no_longer_suspect() -> None:
+    failures = Failures()
+    for machine in range(3):
+        failures.failed(0, machine)
+    assert failures.trust(0) is Trust.SUSPECT
+    failures.completed(1, 7)
+    assert failures.failed(1, 0) == []
+    assert failures.failed(1, 0) == [0]  # job 1 completes elsewhere: machine 0 is at fault
+    assert failures.trust(0) is Trust.NEW
+
+
+def test_failures_before_the_first_completion_count_afterwards() -> None:
+    failures = Failures()
+    failures.failed(0, 3)
+    failures.failed(0, 3)
+    assert not failures.faulty
+    assert failures.completed(0, 4) == [3]
--- a/petrelthread/fleet/test_table.py
+++ b/petrelthread/fleet/test_table.py
@@ -97,7 +97,7 @@
         again = report(tick, EPOCH)
         again.legs.append(done)
         fleet.on_report(again, 101.0 + tick, answered=True)
-    assert fleet.finished == {0: [0]}
+    assert fleet.finished == {0: {0}}
     fleet.book.apply_done(1, [["wk-000001", [0, 0]]])
     fleet.finished.clear()
     again = report(4, EPOCH)
--- a/petrelthread/ledger/book.py
+++ b/petrelthread/ledger/book.py
@@ -87,7 +87,7 @@
         "done",
         "done_records",
         "due_s",
-        "failed_on",
+        "failing",
         "final",
         "first_start_at",
         "gang",
@@ -109,6 +109,7 @@
         "size_gb",
         "spot",
         "states",
+        "suspect_since",
         "tasks",
         "team",
         "types",
@@ -165,7 +166,8 @@
         self.done = 0
         self.done_records: list[int] = []
         # What the leader learns as it goes along:
-        self.failed_on: set[int] = set()
+        self.failing: set[int] = set()  # tasks whose last try failed
+        self.suspect_since = 0.0
         self.backoff_s = 0.0
         self.not_before = 0.0
         self.first_start_at = 0.0
@@ -206,10 +208,14 @@
         return wire.RUNNING if self.live else wire.QUEUED
 
     def pending_tasks(self) -> Iterator[int]:
+        """Those that have failed come last: bad tasks must not keep good ones waiting."""
         at = self.states.find(PENDING)
         while at >= 0:
-            yield at
+            if at not in self.failing:
+                yield at
             at = self.states.find(PENDING, at + 1)
+        if self.states:  # none once it is over
+            yield from sorted(task for task in self.failing if self.states[task] == PENDING)
 
 
 def pack_round(placements: Iterable[tuple[str, int, str, int]], limit: int) -> list[Any]:
--- a/petrelthread/placement/rounds.py
+++ b/petrelthread/placement/rounds.py
@@ -85,6 +85,10 @@
                 continue  # its other tasks are still there: they end, and all start anew together
             if job.pending > 0 and now >= job.not_before:
                 want = self._view.want(job)
+                if self._fleet.suspect(job) and not job.gang:
+                    if not job.live:
+                        wants.append(want._replace(pending=1))
+                    continue
                 if overdue and not job.gang:
                     # It should have begun: one task goes before all else, the others in turn.
                     wants.insert(0, want._replace(pending=1))
@@ -151,7 +155,7 @@
                 continue
             # What another leader, or a claim of ours that we had given up, made durable meanwhile
             # counts as done already. Counted twice, it would make the job done too soon.
-            tasks = [task for task in tasks if job.states[task] != 2]
+            tasks = {task for task in tasks if job.states[task] != 2}
             if not tasks and job.done < job.tasks:
                 del self._fleet.finished[index]
                 continue
@@ -159,7 +163,7 @@
             if job.done + len(tasks) >= job.tasks:
                 completed.append(job)
             else:
-                partly[job.id] = tasks
+                partly[job.id] = list(tasks)
         completed = completed[: max(1, self._ops_most - 3)]
         for job in completed:
             ops.append(wire.put(f"{ROOT}f/{job.id}", wire.DONE))
@@ -263,7 +267,7 @@
             tasks = self._fleet.finished.get(job.index)
             if tasks is None:
                 continue
-            left = [task for task in tasks if job.final is None and job.states[task] != 2]
+            left = {task for task in tasks if job.final is None and job.states[task] != 2}
             if left:
                 self._fleet.finished[job.index] = left
             else:
--- a/petrelthread/placement/stops.py
+++ b/petrelthread/placement/stops.py
@@ -49,6 +49,8 @@
         victims: list[Victim] | None = None
         for want in wants:
             job = self._book.jobs[want.job]
+            if self._fleet.suspect(job):
+                continue
             # A job that still gets room as it falls free does not need others to be stopped.
             waiting_s = time.time() - max(job.accepted_at, job.last_start_at)
             lacking = min(want.pending - placed.get(want.job, 0), teams[want.team].most(want))
--- a/petrelthread/placement/view.py
+++ b/petrelthread/placement/view.py
@@ -9,7 +9,7 @@
 from petrelthread import wire
 from petrelthread.fleet import Fleet, Health
 from petrelthread.ledger import Book, Job
-from petrelthread.placement.order import Standing, Turn, order
+from petrelthread.placement.order import LATE_S, Standing, Turn, order
 from petrelthread.placement.place import EPS, Slot, Want
 from petrelthread.settings import Settings
 
@@ -177,7 +177,13 @@
 
     def turns(self) -> list[Turn]:
         standings = []
+        # What fails everywhere is tried one task at a time: that one first, so that a job that was
+        # only unlucky goes on soon. Nothing else is done for it and nothing else waits for it.
+        turns = []
         for job in self._book.open.values():
+            if self._fleet.suspect(job):
+                turns.append(Turn(job.index, False, time.time() + LATE_S))
+                continue
             left = job.tasks - job.done
             run_s = self.estimates.run_s(job)
             live = len(job.live)
@@ -198,7 +204,15 @@
                     live > 0 or job.done > 0,
                 )
             )
-        return order(standings, self._guarantees, time.time(), self.cores())
+        return turns + order(standings, self._guarantees, time.time(), self.cores())
+
+    def _avoid(self, job: Job) -> frozenset[int]:
+        """Machines on which it failed, as long as there are as many others."""
+        failed_on = self._fleet.failures.failed_on(job.index)
+        if not failed_on:
+            return frozenset()
+        usable = sum(machine.open for machine in self._fleet.machines.values())
+        return frozenset(failed_on) if 2 * len(failed_on) <= usable else frozenset()
 
     def want(self, job: Job) -> Want:
         live_zones: dict[int, int] = {}
@@ -222,6 +236,6 @@
             job.same_place,
             job.scatter,
             live_zones,
-            frozenset(job.failed_on),
+            self._avoid(job),
             job.gang,
         )
--- a/petrelthread/rental/keeper.py
+++ b/petrelthread/rental/keeper.py
@@ -35,6 +35,7 @@
 REPEAT_S = 1.5
 REPLANS = 10
 LATE_BOOT = 1.6  # times the usual boot time: later than that, a machine is no capacity
+PROBED_ON = 6  # machines: a job that failed on more of them and completed nothing gets no other
 LOST_BOOT = 2.5  # and later than this it is given back
 
 
@@ -248,6 +249,12 @@
             unfinished = job.tasks - job.done - len(self._fleet.finished.get(job.index, ()))
             if unfinished <= 0 or now < job.not_before:
                 continue
+            if self._fleet.suspect(job):
+                # Tried on what is there; only the first few tries may ask for a machine, in case
+                # there is none and it was merely unlucky.
+                if len(self._fleet.failures.failed_on(job.index)) > PROBED_ON:
+                    continue
+                unfinished = 1
             room = left[job.team]
             tasks = unfinished
             if job.cores > 0:
--- a/tests/world.py
+++ b/tests/world.py
@@ -437,7 +437,7 @@
                 entry["status"] = "running"
                 entry["at"] = now
                 self.world.judge.started(leg, self.machine, now)
-                if self.faulty or leg.rpartition("/")[0] in self.world.mistaken:
+                if self.faulty or self.world.is_bad(leg):
                     self._end(leg, entry, "error")
             elif entry["status"] == "running" and now >= entry["at"] + self.world.ran_s(leg):
                 self._end(leg, entry, "done")
@@ -615,6 +615,7 @@
         self.run_s = 5.0
         self.run_s_of: dict[str, float] = {}  # by job, where it is not run_s
         self.mistaken: set[str] = set()  # jobs that fail on every machine
+        self.bad_tasks: set[str] = set()  # and single tasks
         self.jobs: dict[str, dict[str, Any]] = {}
         self.judge = Judge(self)
         self.net = Net(self)
@@ -633,6 +634,9 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def is_bad(self, leg: str) -> bool:
+        return leg in self.bad_tasks or leg.rpartition("/")[0] in self.mistaken
+
     def ran_s(self, leg: str) -> float:
         return self.run_s_of.get(leg.rpartition("/")[0], self.run_s)
 
