Keep a machine for wide tasks of jobs that should have begun

One machine for each such job gets nothing new until one task fits. Ruled out: team limit (none), spot refusals (the types were up and full). The scenario fails without the guard.

--- a/petrelthread/placement/rounds.py
+++ b/petrelthread/placement/rounds.py
@@ -21,6 +21,7 @@
     pack_done,
     pack_round,
 )
+from petrelthread.placement.hold import hold
 from petrelthread.placement.place import TeamRoom, Want, place
 from petrelthread.placement.stops import Stops
 from petrelthread.placement.view import View
@@ -57,6 +58,7 @@
         self._ops_most = state.txn_ops
         self._number = 0
         self._cursor = 0
+        self.held: dict[int, int] = {}  # by job that should have begun: the machine kept for it
         self.dead_keys: list[str] = []  # records that are settled, to be dropped
         self.gap_s = 0.25
         self.budget_s = 0.05
@@ -65,6 +67,7 @@
     def take_over(self, epoch: int) -> None:
         self._number = epoch << 20
         self._cursor = 0
+        self.held.clear()
         self.dead_keys.clear()
 
     def next_number(self) -> int:
@@ -77,6 +80,7 @@
     def decide(self, now: float) -> tuple[list[Placement], list[Attempt]]:
         """What to start, and what to stop to make room."""
         wants: list[Want] = []
+        late: list[Want] = []  # one task each of jobs that should have begun
         guaranteed: dict[int, bool] = {}
         for index, inside, _, overdue in self._view.turns():
             job = self._book.jobs[index]
@@ -91,9 +95,10 @@
                     continue
                 if overdue and not job.gang:
                     # It should have begun: one task goes before all else, the others in turn.
-                    wants.insert(0, want._replace(pending=1))
+                    late.append(want._replace(pending=1))
                     want = want._replace(pending=want.pending - 1)
                 wants.append(want)
+        wants = late + wants
         if not wants:
             return [], []
         slots, surplus = self._view.slots(min(want.cores for want in wants))
@@ -103,6 +108,9 @@
             TeamRoom(team.most_cores - use[i][0], team.most_accelerators - use[i][1])
             for i, team in enumerate(self._view.teams)
         ]
+        self._hold(late, teams)
+        kept = set(self.held.values())
+        free = [slot for slot in free if slot.machine not in kept]
         clock = asyncio.get_running_loop().time
         stop_at = clock() + self.budget_s
         done = place(wants, free, teams, self._cursor, lambda: clock() >= stop_at)
@@ -134,7 +142,23 @@
             placed[job_index] = placed.get(job_index, 0) + 1
         if done.next_start:
             return placements, []
-        return placements, self._stops.for_room(wants, guaranteed, placed, teams, slots, use, now)
+        stops = self._stops.for_room(wants, guaranteed, placed, teams, slots, use, kept, now)
+        return placements, stops
+
+    def _hold(self, late: list[Want], teams: list[TeamRoom]) -> None:
+        before = self.held
+        if late:
+            slots = list(self._view.slots()[0].values())
+            self.held = hold(late, slots, self._view.whole(slots), teams, before)
+        else:
+            self.held = {}
+        for job, machine in self.held.items():
+            if before.get(job) != machine:
+                log.info(
+                    "machine %s is kept for %s, which should have begun and fits nowhere",
+                    self._fleet.machines[machine].name,
+                    self._book.jobs[job].id,
+                )
 
     async def round(self, now: float) -> bool:
         """Decide and claim once. True if there is more to write at once."""
--- a/petrelthread/placement/stops.py
+++ b/petrelthread/placement/stops.py
@@ -43,6 +43,7 @@
         teams: list[TeamRoom],
         slots: dict[int, Slot],
         use: list[tuple[float, float]],
+        kept: set[int],
         now: float,
     ) -> list[Attempt]:
         """Stop work for jobs that had to wait too long; what stops now makes room next round."""
@@ -67,7 +68,11 @@
                 slots = {**{slot.machine: slot for slot in surplus}, **full, **slots}
             over = [u[0] - t.cpus for u, t in zip(use, self._view.teams, strict=False)]
             inside = guaranteed[want.job]
-            behind = [v for v in victims if served_before(job.rank, inside, v, guaranteed)]
+            behind = [
+                v
+                for v in victims
+                if v.machine not in kept and served_before(job.rank, inside, v, guaranteed)
+            ]
             chosen = choose_victims(want, job.rank, inside, lacking, behind, slots, over)
             out = []
             for victim in chosen:
--- a/petrelthread/placement/view.py
+++ b/petrelthread/placement/view.py
@@ -106,6 +106,12 @@
                 surplus.append(slot)
         return out, surplus
 
+    def whole(self, slots: list[Slot]) -> dict[int, tuple[float, float, float]]:
+        """What each of the machines has when it is empty."""
+        hulls = self._hulls()
+        types = {slot.machine: hulls[slot.type] for slot in slots}
+        return {m: (hull.cores, hull.accelerators, hull.ram_gb) for m, hull in types.items()}
+
     def team_use(self) -> list[tuple[float, float]]:
         """What each team's tasks use or may be using, wherever they are."""
         taken = (self._book.use.team(team) for team in range(len(self._book.names.teams)))
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 from petrelthread.admin.views import why
 from tests.test_faults import run
-from tests.world import Worker, World, job
+from tests.world import SMALL, Worker, World, job
 
 
 def now() -> float:
@@ -29,6 +30,28 @@
     run(scenario)
 
 
+def test_a_wide_task_begins_though_narrow_ones_take_all_that_falls_free() -> None:
+    """Tasks of 16 cores had waited 320 to 500 s: no machine ever had 16 cores free at once."""
+
+    async def scenario(world: World) -> None:
+        world.spread_s = 10.0
+        # Their teams' limits are all the cores there are, and no machine is ever empty by itself.
+        await world.submit(job("wk-000001", 2000, cores=1.0, crew="red", guess_s=8.0))
+        await world.submit(job("wk-000002", 2000, cores=1.0, crew="blue", guess_s=8.0))
+        await world.running(16)
+        asked = now()
+        wide = job("wk-000003", 3, cores=4.0, ram_gb=4.0, crew="guest", rank="low", guess_s=20.0)
+        await world.submit(wide)
+        while "wk-000003/0" not in world.judge.started_at:
+            await asyncio.sleep(1.0)
+            assert now() < asked + 240.0
+        for n in (1, 2, 3):
+            await world.cancel(f"wk-{n:06d}")
+        await world.until_over(60.0)
+
+    run(scenario, made_of=replace(SMALL, spot=6, ordinary=0))
+
+
 # ---- jobs submitted with a mistake, and faulty machines ----------------------------------------
 
 
