--- a/petrelthread/admin/options.py
+++ b/petrelthread/admin/options.py
@@ -20,6 +20,9 @@
 KNOBS: dict[str, Knob] = {
     "spot_drain_s": Knob(_RENTAL.spot_drain_s, 5, 3600, "rent spot until backlog drains in this"),
     "dear_drain_s": Knob(_RENTAL.dear_drain_s, 5, 3600, "rent ordinary until it drains in this"),
+    "patient_drain_s": Knob(
+        _RENTAL.patient_drain_s, 5, 36000, "rent ordinary for work without goals until it drains"
+    ),
     "due_share": Knob(_RENTAL.due_share, 0.1, 1, "share of the time until due to plan work into"),
     "due_least_s": Knob(_RENTAL.due_least_s, 5, 3600, "plan nothing as due sooner than this"),
     "keep_share": Knob(_RENTAL.keep_share, 0.05, 1, "keep ordinary machines until this share"),
--- a/petrelthread/fleet/table.py
+++ b/petrelthread/fleet/table.py
@@ -112,9 +112,21 @@
             attempt.number,
             why,
         )
+        self._keep_progress(attempt, stopped=False)
         self.book.release(attempt)
         self.on_change()
 
+    def _keep_progress(self, attempt: Attempt, stopped: bool) -> None:
+        """What checkpoints keep of the attempt: only the rest of the task is still to run."""
+        job, machine = attempt.job, self.machines.get(attempt.machine)
+        if job.mark_s <= 0 or not attempt.running_at or machine is None:
+            return
+        ran_s = machine.newest_at - attempt.running_at
+        kept_s = ran_s if stopped else ran_s - job.lost_s(ran_s, stopped=False)
+        if kept_s > 0:
+            job.progress[attempt.task] = job.progress.get(attempt.task, 0.0) + kept_s
+        attempt.running_at = 0.0  # counted
+
     # ---- reports ---------------------------------------------------------------------------
 
     def on_report(self, report: wire.Report, now: float, answered: bool) -> Machine | None:
@@ -276,7 +288,8 @@
             self._completed(machine, job, attempt.task)
             machine.use_image(job.image, job.size_gb, self.cache_gb(machine.type))
             if attempt.running_at:
-                self.on_class_time(job, now - attempt.running_at)
+                before_s = job.progress.pop(attempt.task, 0.0)
+                self.on_class_time(job, before_s + now - attempt.running_at)
             if job.final is None:
                 self._finish(job, attempt.task)
             else:
@@ -287,6 +300,8 @@
         elif leg.cause in (wire.CAUSE_FULL, wire.CAUSE_IN_USE, wire.CAUSE_UNKNOWN):
             log.info("machine %s refused %s/%d: %s", machine.name, job.id, attempt.task, leg.cause)
             job.not_before = max(job.not_before, now + 1.0)
+        elif leg.stored:
+            self._keep_progress(attempt, stopped=True)
         # Ended without being done: over, and it stays listed until forgotten, so that no late
         # command can start this attempt again.
         self._over(attempt, f"ended: {leg.cause}")
--- a/petrelthread/fleet/test_table.py
+++ b/petrelthread/fleet/test_table.py
@@ -169,3 +169,37 @@
         machine.heard_at, machine.strikes, machine.deaf = 110.0, 2, "its lease ended"
     fleet.tick_silence(111.0, 5.0)
     assert not any(machine.fault for machine in fleet.machines.values())
+
+
+def test_what_checkpoints_kept_is_not_run_again() -> None:
+    # A task of 300 s that was stopped after 200 s was planned, and learned from, as if it were new.
+    fleet = fleet_at(100.0)
+    learned: list[float] = []
+    fleet.on_class_time = lambda job, ran_s: learned.append(ran_s)
+    job = fleet.book.jobs[0]
+    job.mark_s, job.grace_s = 30.0, 3.0
+    assert job.lost_s(200.0, stopped=True) == 3.0
+    assert job.lost_s(200.0, stopped=False) == 20.0
+    _, first = started(fleet, (EPOCH << 20) + 1)
+    running = report(1, EPOCH, legs=((0, first.number, "running"),))
+    fleet.on_report(running, 101.0, answered=True)
+    stopped = report(2, EPOCH)
+    stopped.legs.append(wire.Leg("wk-000001/0", first.number, "ended", "stopped", True))
+    fleet.on_report(stopped, 201.0, answered=True)
+    assert job.progress == {0: pytest.approx(100.0)}
+    _, second = started(fleet, (EPOCH << 20) + 2)
+    for tick, at in ((3, 210.0), (4, 275.0)):
+        running = report(tick, EPOCH, legs=((0, second.number, "running"),))
+        fleet.on_report(running, at, answered=True)
+    fleet.on_report(report(4, EPOCH, session=2), 280.0, answered=True)  # lost with its session
+    assert job.progress == {0: pytest.approx(160.0)}
+    _, third = started(fleet, (EPOCH << 20) + 3, session=2)
+    last = report(5, EPOCH, 2, legs=((0, third.number, "running"),))
+    fleet.on_report(last, 300.0, answered=True)
+    done = report(6, EPOCH, 2)
+    done.legs.append(wire.Leg("wk-000001/0", third.number, "ended", "done"))
+    fleet.on_report(done, 340.0, answered=True)
+    assert learned == [pytest.approx(200.0)]
+    assert not job.progress
+    job.mark_s = 0.0
+    assert job.lost_s(200.0, stopped=True) == 200.0
--- a/petrelthread/ledger/book.py
+++ b/petrelthread/ledger/book.py
@@ -101,6 +101,7 @@
         "live",
         "mark_s",
         "not_before",
+        "progress",
         "ram_gb",
         "rank",
         "same_place",
@@ -109,6 +110,7 @@
         "size_gb",
         "spot",
         "states",
+        "stops",
         "suspect_since",
         "tasks",
         "team",
@@ -168,6 +170,8 @@
         # What the leader learns as it goes along:
         self.failing: set[int] = set()  # tasks whose last try failed
         self.suspect_since = 0.0
+        self.progress: dict[int, float] = {}  # by task: seconds that checkpoints have saved
+        self.stops: dict[int, int] = {}  # by task: how often it was stopped for others
         self.backoff_s = 0.0
         self.not_before = 0.0
         self.first_start_at = 0.0
@@ -197,6 +201,12 @@
             round(now, 3),
         ]
 
+    def lost_s(self, ran_s: float, stopped: bool) -> float:
+        """What a task that ran so long loses when it is stopped, or with its machine."""
+        if self.mark_s <= 0:
+            return ran_s
+        return min(ran_s, self.grace_s) if stopped else ran_s % self.mark_s
+
     @property
     def pending(self) -> int:
         return self.tasks - self.done - len(self.live)
--- a/petrelthread/placement/preempt.py
+++ b/petrelthread/placement/preempt.py
@@ -22,7 +22,7 @@
     cores: float
     accelerators: float
     ram_gb: float
-    ran_s: float  # what would be lost
+    lost_s: float  # run time that would be lost; more for one that was stopped before
 
 
 def may_displace(want: Want, rank: int, guaranteed: bool, victim: Victim, over: float) -> bool:
@@ -60,9 +60,9 @@
     chosen: list[Victim] = []
     over = list(over)
     by_machine: dict[int, list[Victim]] = {}
-    for victim in sorted(victims, key=lambda v: (v.rank, v.ran_s, v.job, v.task)):
+    for victim in sorted(victims, key=lambda v: (v.rank, v.lost_s, v.job, v.task)):
         by_machine.setdefault(victim.machine, []).append(victim)
-    for machine, there in sorted(by_machine.items(), key=lambda item: item[1][0].ran_s):
+    for machine, there in sorted(by_machine.items(), key=lambda item: item[1][0].lost_s):
         if needed <= 0:
             break
         slot = slots.get(machine)
--- a/petrelthread/placement/stops.py
+++ b/petrelthread/placement/stops.py
@@ -9,6 +9,7 @@
 from petrelthread import wire
 from petrelthread.fleet import Fleet, Health
 from petrelthread.ledger import Attempt, Book, Op
+from petrelthread.placement.order import BEGIN_S
 from petrelthread.placement.place import Slot, TeamRoom, Want
 from petrelthread.placement.preempt import Victim, choose_victims, served_before
 from petrelthread.placement.view import View
@@ -79,6 +80,10 @@
                 attempt = self._book.jobs[victim.job].live.get(victim.task)
                 if attempt is not None:
                     out.append(attempt)
+                    # Each stop doubles what the next one counts for: a task that had just begun
+                    # is the least loss, and some were stopped and started anew four times.
+                    stops = attempt.job.stops
+                    stops[attempt.task] = stops.get(attempt.task, 0) + 1
                     log.info(
                         "stopping %s/%d to make room for %s", attempt.job.id, attempt.task, job.id
                     )
@@ -95,6 +100,7 @@
 
     def _victims(self, now: float) -> list[Victim]:
         out = []
+        wall = time.time()
         for there in self._book.on_machine.values():
             for attempt in there.values():
                 job = attempt.job
@@ -102,6 +108,10 @@
                     continue
                 if job.gang:
                     continue  # to stop one would lose them all
+                if len(job.live) == 1 and not job.done and wall > job.accepted_at + BEGIN_S:
+                    # The one task with which a job has begun that should have long ago. Just
+                    # started, it was the least loss, and was stopped again within seconds.
+                    continue
                 ran_s = now - attempt.running_at if attempt.running_at else 0.0
                 out.append(
                     Victim(
@@ -113,7 +123,7 @@
                         job.cores,
                         job.accelerators,
                         job.ram_gb,
-                        ran_s,
+                        job.lost_s(ran_s, stopped=True) * 2.0 ** job.stops.get(attempt.task, 0),
                     )
                 )
         return out
@@ -129,6 +139,8 @@
                 if attempt.ended or attempt.halted_at:
                     continue
                 ran_s = now - attempt.running_at if attempt.running_at else 0.0
-                if self._view.estimates.run_s(attempt.job) - ran_s > max(left_s, 0.0):
+                run_s = self._view.estimates.run_s(attempt.job)
+                run_s -= attempt.job.progress.get(attempt.task, 0.0)
+                if run_s - ran_s > max(left_s, 0.0):
                     out.append(attempt)
         return out
--- a/petrelthread/placement/view.py
+++ b/petrelthread/placement/view.py
@@ -150,6 +150,9 @@
             within = self._within.get(job.jobclass, [])
         return tuple(job.accepted_at + seconds for seconds in sorted(within))
 
+    def has_goals(self, job: Job) -> bool:
+        return job.due_s is not None or job.jobclass in self._within
+
     def waves(self, job: Job, tasks: int) -> int:
         team = self.teams[job.team]
         most = float(job.tasks)
@@ -206,7 +209,7 @@
                     run_s,
                     self.estimates.tail_s(job),
                     min(left * job.cores, self.teams[job.team].most_cores),
-                    (left - live / 2) * run_s * job.cores,
+                    ((left - live / 2) * run_s - sum(job.progress.values())) * job.cores,
                     live > 0 or job.done > 0,
                 )
             )
--- a/petrelthread/rental/keeper.py
+++ b/petrelthread/rental/keeper.py
@@ -265,7 +265,7 @@
             room[0] -= tasks * job.cores
             room[1] -= tasks * job.accelerators
             run_s = self._view.estimates.run_s(job)
-            work_s = unfinished * run_s
+            work_s = unfinished * run_s - sum(job.progress.values())
             for attempt in job.live.values():
                 if attempt.running_at:
                     work_s -= min(run_s * 0.9, now - attempt.running_at)
@@ -281,6 +281,7 @@
                     job.zone,
                     job.spot,
                     job.pending > 0,
+                    not self._view.has_goals(job),
                 )
             )
         return out
--- a/petrelthread/rental/plan.py
+++ b/petrelthread/rental/plan.py
@@ -22,6 +22,7 @@
 
     spot_drain_s: float = 30.0  # spot machines are added until the backlog drains in this time
     dear_drain_s: float = 120.0  # ordinary ones only until it drains in this time, or in time
+    patient_drain_s: float = 600.0  # and in this where nothing says when it should be done
     due_share: float = 0.7  # of the time left until jobs are due that their work may take
     due_least_s: float = 45.0  # work due sooner than this is planned as if due then
     keep_share: float = 0.35  # of those times: dear machines that are up stay until this suffices
@@ -57,6 +58,7 @@
     zone: int | None
     spot: bool
     waiting: bool = True  # some of its tasks are on no machine yet
+    patient: bool = False  # neither a deadline nor an objective says when it should be done
 
 
 class Owned(NamedTuple):
@@ -166,10 +168,11 @@
 def _cores_in_time(group: list[Demand], options: Options, share: float = 1.0) -> float:
     """Cores that finish each job's work, and all that is due before it, in a share of the time."""
     need = work = 0.0
-    for demand in sorted(group, key=lambda d: d.due_s):
+    for demand in sorted(group, key=lambda d: (d.patient, d.due_s)):
         work += demand.work_s * demand.cores
         left_s = max(options.due_least_s, demand.due_s * options.due_share)
-        need = max(need, work / (min(left_s, options.dear_drain_s) * share))
+        most_s = options.patient_drain_s if demand.patient else options.dear_drain_s
+        need = max(need, work / (min(left_s, most_s) * share))
     return need
 
 
--- a/petrelthread/rental/test_plan.py
+++ b/petrelthread/rental/test_plan.py
@@ -38,6 +38,20 @@
     assert sum(r.machines for r in later.rents) < sum(r.machines for r in got.rents)
 
 
+def test_work_without_goals_asks_for_dear_machines_only_as_the_last_resort() -> None:
+    # 1,600 tasks of 300 s that a guest wished to run when idle brought 131 ordinary machines.
+    idle = demand(1600, 480_000.0)._replace(cores=1.0, ram_gb=1.8, patient=True)
+    spot = owned(300)
+    assert not plan([idle], spot, [DEAR], 0.0, Options(), 9).rents
+    assert plan([idle._replace(patient=False)], spot, [DEAR], 0.0, Options(), 9).rents
+    # Without any spot machine it is served all the same, and with others' work theirs comes first.
+    deep = DEAR._replace(deep=True)
+    alone = sum(r.machines for r in plan([idle], [], [deep], 0.0, Options(), 99).rents)
+    assert 100 <= alone <= 250
+    urgent = demand(100, 2000.0, due_s=100.0)
+    assert plan([urgent, idle], [], [DEAR], 0.0, Options(), 9).rents
+
+
 def test_dear_machines_only_after_a_short_answer_of_the_cheap_offer() -> None:
     # A call gives 50 machines at most. The rest of a large backlog once went to ordinary machines
     # at three times the price, with 300 spot ones still to be had.
