A standstill is noticed before anything is believed; status names troubles

Now housekeeping and each request look first; past its lease it holds over until the state service has answered; status and why read the state first, and name what is wrong and since when; one log line when a trouble begins and one when it ends. A machine has to be missing from two cloud lists to be taken for gone. Scenarios with a process that stands still while its clocks run on (the virtual loop holds back what it would run).

--- a/petrelthread/admin/api.py
+++ b/petrelthread/admin/api.py
@@ -41,6 +41,9 @@
             return refusal(404, "no such path")
         if method != "GET":
             return refusal(405, "use GET")
+        # On waking from a standstill, or cut off for a while, this node may take itself for the
+        # leader still: what it shows is no older than what others were told, or says so.
+        await self._node.mirror.fresh()
         home = self._addrs.get(self._node.election.home or "")
         if not self._node.election.leading and home and DIRECT not in query:
             try:
--- /dev/null
+++ b/petrelthread/admin/troubles.py
@@ -0,0 +1,77 @@
+"""What is wrong now, in plain sentences; one log line when each begins and one when it ends."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, NamedTuple
+
+from petrelthread.fleet import Health
+
+if TYPE_CHECKING:
+    from petrelthread.controller import Controller
+
+log = logging.getLogger(__name__)
+
+SURE_S = 2.0  # it has lasted so long before it is told of, so that no flicker floods the log
+STATE_S = 3.0  # without an answer of the state service
+
+
+class Trouble(NamedTuple):
+    since: float
+    told: bool
+
+
+def now_wrong(node: Controller, now: float) -> dict[str, str]:
+    """By kind, so that a count that changes is the same trouble still."""
+    out: dict[str, str] = {}
+    election = node.election
+    silent_s = now - node.mirror.last_ok
+    if not node.mirror.loaded.is_set():
+        out["state"] = "this node has not yet read the state service"
+    elif silent_s > STATE_S:
+        out["state"] = "the state service does not answer this node: nothing is accepted or started"
+    elif election.leader is None:
+        out["leader"] = "there is no leader: nothing is started"
+    if now - node.awake.since < 10.0:
+        out["still"] = f"this node stood still for {node.awake.stood_s:.0f} s"
+    if not election.leading:
+        return out
+    late = node.keeper.late_boots(now)
+    if late:
+        out["boots"] = f"{late} machines are late in booting and count for nothing until they come"
+    deaf = sum(bool(m.deaf) and m.health is Health.UP for m in node.fleet.machines.values())
+    if deaf:
+        out["deaf"] = f"{deaf} machines report but do not hear us"
+    suspects = [job.id for job in node.book.open.values() if node.fleet.suspect(job)]
+    if suspects:
+        shown = ", ".join(suspects[:5]) + (", ..." if len(suspects) > 5 else "")
+        out["suspects"] = f"{len(suspects)} jobs fail everywhere until they are cancelled: {shown}"
+    if node.rounds.held:
+        out["held"] = f"{len(node.rounds.held)} jobs should have begun: a machine is kept for each"
+    cut = ", ".join(node.book.names.zones.name(zone) for zone in sorted(node.zone_watch.down))
+    if cut:
+        out["zones"] = f"cut off: {cut}"
+    return out
+
+
+class Troubles:
+    """Since when each trouble lasts; tells of each when it begins and when it is over."""
+
+    def __init__(self) -> None:
+        self.lasting: dict[str, Trouble] = {}
+
+    def update(self, wrong: dict[str, str], now: float) -> None:
+        for kind, text in wrong.items():
+            trouble = self.lasting.setdefault(kind, Trouble(now, False))
+            if not trouble.told and now - trouble.since >= SURE_S:
+                self.lasting[kind] = Trouble(trouble.since, True)
+                log.warning("trouble: %s", text)
+        for kind in [kind for kind in self.lasting if kind not in wrong]:
+            trouble = self.lasting.pop(kind)
+            if trouble.told:
+                log.info("trouble over after %.0f s: %s", now - trouble.since, kind)
+
+    def since(self, kind: str, now: float) -> float:
+        """How many seconds it has lasted."""
+        trouble = self.lasting.get(kind)
+        return now - trouble.since if trouble else 0.0
--- a/petrelthread/admin/views.py
+++ b/petrelthread/admin/views.py
@@ -5,6 +5,7 @@
 import time
 from typing import TYPE_CHECKING, Any
 
+from petrelthread.admin.troubles import STATE_S, now_wrong
 from petrelthread.fleet import Health
 from petrelthread.ledger import Job, Op
 
@@ -37,7 +38,7 @@
         "role": election.role.value,
         "leader": election.home,
         "epoch": election.known_epoch,
-        "state_service": now - node.mirror.last_ok < 3.0,
+        "state_service": now - node.mirror.last_ok < STATE_S,
         "siblings": siblings,
         "zones": zones(node),
         "machines": _machines(node),
@@ -52,6 +53,10 @@
             for at, team in enumerate(node.view.teams)
         ],
         "backlog": backlog,
+        "troubles": [
+            {"trouble": text, "for_s": round(node.troubles.since(kind, now), 1)}
+            for kind, text in now_wrong(node, now).items()
+        ],
     }
 
 
@@ -124,8 +129,11 @@
     book = node.book
     if job.final is not None:
         return f"It is over: {job.final}."
-    if now - node.mirror.last_ok > 3.0:
+    if now - node.mirror.last_ok > STATE_S:
         return "The state service does not answer, and nothing is started without it."
+    if node.election.leader is None:
+        since_s = node.troubles.since("leader", now)
+        return f"There is no leader since {since_s:.0f} s, and nothing is started without one."
     live = list(job.live.values())
     unknown = [a for a in live if a.state is Op.UNKNOWN]
     running = [a for a in live if a.running_at and not a.ended]
@@ -170,6 +178,11 @@
     deaf = sum(bool(m.deaf) and m.health is Health.UP for m in node.fleet.machines.values())
     if deaf:
         tail += f"; {deaf} machines report but do not hear us"
+    late = node.keeper.late_boots(now)
+    if late:
+        tail += f"; {late} are late in booting"
+    if not node.view.has_goals(job):
+        tail += "; it has neither a deadline nor an objective, and others' work comes first"
     if node.zone_watch.down:
         cut = ", ".join(book.names.zones.name(zone) for zone in sorted(node.zone_watch.down))
         tail += f"; cut off: {cut}"
--- a/petrelthread/cli/operate.py
+++ b/petrelthread/cli/operate.py
@@ -111,6 +111,8 @@
             lines.append(
                 f"team {t['team']}: {t['cores']:g} cores (guaranteed {t['guaranteed']:g}, {limit})"
             )
+    for trouble in got["troubles"]:
+        lines.append(f"TROUBLE for {trouble['for_s']:.0f} s: {trouble['trouble']}")
     # One screen: after a take-over there may be one for each of hundreds of machines.
     oldest = sorted(got["operations"], key=lambda op: -op["age_s"])
     for op in oldest[:SHOWN_MOST]:
--- a/petrelthread/cli/test_operate.py
+++ b/petrelthread/cli/test_operate.py
@@ -29,6 +29,7 @@
         for n in range(16)
     ]
     + [{"team": "guests", "cores": 8.0, "guaranteed": 0.0, "limit": None}],
+    "troubles": [{"trouble": "there is no leader: nothing is started", "for_s": 12.0}],
     "backlog": {"plan": {"jobs": 9, "waiting": 20, "running": 100}},
 }
 
@@ -51,6 +52,7 @@
     assert main(["status"]) == 0
     lines = capsys.readouterr().out.splitlines()
     assert len(lines) < 40
+    assert any("no leader" in line and "12 s" in line for line in lines)
     assert any("team guests" in line and "no limit" in line for line in lines)
     assert any("2 hears nothing" in line for line in lines)
     assert any("host-383" in line for line in lines)  # the oldest is shown,
--- a/petrelthread/controller.py
+++ b/petrelthread/controller.py
@@ -13,6 +13,8 @@
 from petrelthread.admin import Admin, with_defaults
 from petrelthread.admin.api import PREFIX as ADMIN_PREFIX
 from petrelthread.admin.options import rental_options
+from petrelthread.admin.troubles import Troubles, now_wrong
+from petrelthread.awake import Awake
 from petrelthread.fleet import Dispatch, Fleet, ZoneWatch
 from petrelthread.http import Response, answer
 from petrelthread.http.server import refusal
@@ -112,6 +114,8 @@
         self.fleet.cache_gb = self._cache_gb
         self.intake = Intake(settings, self.book, self.mirror, state, self.keeper.catalog)
         self.gossip = Gossip(settings.siblings, request, self._hello, self._on_hello)
+        self.awake = Awake(self._on_still)
+        self.troubles = Troubles()
         self.admin = Admin(self, request)
         self._reports: list[float] = []
         self._silent_s = 2.5 * workers.report_s + 4.0
@@ -185,6 +189,13 @@
         )
         self.rounds.wake.set()
 
+    def _on_still(self, stood_s: float, now: float) -> None:
+        """Judge anew what may be older than it looks."""
+        self.election.woke()
+        self.fleet.awake_at = now
+        self.gossip.heard.clear()
+        self._reports.clear()
+
     def _hello(self) -> Hello:
         now = asyncio.get_running_loop().time()
         return Hello(
@@ -208,6 +219,7 @@
     # ---- requests --------------------------------------------------------------------------------
 
     async def handle(self, method: str, target: str, body: bytes) -> Response:
+        self.awake.look(asyncio.get_running_loop().time())
         path = target.partition("?")[0]
         if path == wire.CHECKIN_PATH:
             return self._checkin(body) if method == "POST" else refusal(405, "use POST")
@@ -218,6 +230,7 @@
         return refusal(404, "no such path")
 
     async def handle_peer(self, method: str, target: str, body: bytes) -> Response:
+        self.awake.look(asyncio.get_running_loop().time())
         path = target.partition("?")[0]
         if path == HELLO_PATH:
             return await self.gossip.handle(method, body)
@@ -281,6 +294,7 @@
             except TimeoutError:
                 pass
             wake.clear()
+            self.awake.look(asyncio.get_running_loop().time())
             if not self.election.leading:
                 await asyncio.sleep(0.05)
                 continue
@@ -305,6 +319,7 @@
                 pass
             self.keeper.wake.clear()
             now = asyncio.get_running_loop().time()
+            self.awake.look(now)
             try:
                 if self.election.leading:
                     await self.keeper.step(now)
@@ -333,6 +348,8 @@
             asked = loop.time()
             await asyncio.sleep(0.5)
             now = loop.time()
+            self.awake.look(now)
+            self.troubles.update(now_wrong(self, now), now)
             late_s = max(late_s, now - asked - 0.5)
             if now - told_at > LOAD_EVERY_S:
                 if self.election.leading and log.isEnabledFor(logging.DEBUG):
@@ -349,7 +366,8 @@
         names = self.book.names.zones
         nodes = {names.index(zone): heard for zone, heard in self._zones_heard().items()}
         machines = self.fleet.machines.values()
-        fallen, back = self.zone_watch.judge(machines, nodes, self.election.elected_at, now)
+        begun = max(self.election.elected_at, self.awake.since)
+        fallen, back = self.zone_watch.judge(machines, nodes, begun, now)
         for zone in sorted(fallen):
             log.warning("zone %s is cut off: nothing in it is heard", names.name(zone))
         for zone in sorted(back):
@@ -368,7 +386,7 @@
         """A leader that no worker reaches, while its siblings hear them, gives the lead away."""
         election = self.election
         window = 2 * self.settings.cluster.workers.report_s
-        if not election.leading or now - election.elected_at < window + 4.0:
+        if not election.leading or now - max(election.elected_at, self.awake.since) < window + 4.0:
             return
         if self._recent_reports(now) == 0:
             heard = sum(hello.workers for hello in self.gossip.fresh(3.0))
--- a/petrelthread/fleet/machine.py
+++ b/petrelthread/fleet/machine.py
@@ -42,6 +42,7 @@
         "index",
         "known_at",
         "listed",
+        "missing",
         "name",
         "newest_at",
         "notice_at",
@@ -90,6 +91,7 @@
         self.notice_s: float | None = None
         self.notice_at = 0.0
         self.listed = False
+        self.missing = 0  # lists in a row without it, since it was listed
         self.charter = ""
         self.sending = 0  # direct commands now under way
         self.unanswered_at = 0.0  # when a direct command was last given up
--- a/petrelthread/fleet/table.py
+++ b/petrelthread/fleet/table.py
@@ -33,6 +33,7 @@
         self.finished: dict[int, set[int]] = {}  # done, not yet durable: job to tasks
         self.epoch = 0
         self.elected_at = 0.0
+        self.awake_at = float("-inf")  # since when this process has not stood still
         self.on_change: Callable[[], None] = lambda: None
         self.on_class_time: Callable[[Job, float], None] = lambda job, ran_s: None
         self.cache_gb: Callable[[int], float] = lambda kind: 1e9
@@ -441,7 +442,8 @@
                 grace = silent_s
                 if machine.epoch_heard != self.epoch:
                     grace += 4.0
-                if now - machine.heard_at > grace:
+                # Nothing was heard while we stood still: once, every machine was silent at once.
+                if now - max(machine.heard_at, self.awake_at) > grace:
                     log.info("machine %s is silent", machine.name)
                     machine.move(Health.SILENT)
                 elif machine.deaf and not many and not machine.fault:
--- a/petrelthread/leadership/election.py
+++ b/petrelthread/leadership/election.py
@@ -151,6 +151,13 @@
         self._move(Role.FOLLOWER, why)
         self.wake.set()
 
+    def woke(self) -> None:
+        """This process stood still. Past its lease another may lead by now: until the state service
+        has answered, it commands nothing and does not show itself as the leader."""
+        if self.role in (Role.LEADING, Role.TAKING_OVER) and self._now() >= self._lease_end():
+            self._move(Role.HOLDING_OVER, "it stood still past its lease")
+        self.wake.set()
+
     async def resign(self, why: str, abstain_s: float) -> None:
         """Give the lead away, as one who cannot reach the workers must."""
         self.abstain_until = self._now() + abstain_s
--- a/petrelthread/rental/keeper.py
+++ b/petrelthread/rental/keeper.py
@@ -222,7 +222,10 @@
                 machine.fault = "listed as failed"
                 log.info("machine %s has failed", machine.name)
         for machine in self._fleet.machines.values():
-            gone = machine.listed and machine.name not in names and not machine.fault
+            missing = machine.listed and machine.name not in names
+            machine.missing = machine.missing + 1 if missing else 0
+            # Twice: a list may be older than the one before, and lack a machine that has just come.
+            gone = machine.missing > 1 and not machine.fault
             if gone and machine.health not in (Health.GONE, Health.RETURNING, Health.UP):
                 machine.fault = "no longer listed"
                 log.info("machine %s is gone from the list", machine.name)
@@ -286,6 +289,21 @@
             )
         return out
 
+    def _late(self, machine: Machine, now: float) -> bool:
+        """Booting for so long that nobody should wait for it, though it may still come. To a new
+        leader a machine that was idle looks the same until it reports, and must not be rented anew.
+        """
+        hull = self.hulls.get(machine.type)
+        return (
+            hull is not None
+            and machine.health is Health.BOOTING
+            and now - machine.rented_at > LATE_BOOT * hull.startup_s
+            and now - machine.known_at > self._hear_s
+        )
+
+    def late_boots(self, now: float) -> int:
+        return sum(self._late(machine, now) for machine in self._fleet.machines.values())
+
     def _plan(self, now: float) -> Plan:
         owned = []
         for machine in self._fleet.machines.values():
@@ -294,13 +312,7 @@
                 continue
             if machine.health not in (Health.UP, Health.BOOTING):
                 continue
-            if (
-                machine.health is Health.BOOTING
-                and now - machine.rented_at > LATE_BOOT * hull.startup_s
-                and now - machine.known_at > self._hear_s
-            ):
-                # It may still come, but nobody should wait for it. To a new leader a machine that
-                # was idle looks the same until it reports, and must not be rented anew.
+            if self._late(machine, now):
                 continue
             if machine.health is Health.BOOTING and machine.zone in self._zones_down:
                 continue
@@ -380,7 +392,9 @@
                     why = "drained before it is taken"
             elif machine.health is Health.BOOTING:
                 limit = max(LOST_BOOT * boot_s, boot_s + 2 * lag)
-                if now - machine.rented_at > limit and now - machine.known_at > boot_s:
+                heard_s = now - self._fleet.awake_at
+                late = now - machine.rented_at > limit and now - machine.known_at > boot_s
+                if late and heard_s > self._hear_s:
                     why = "never came up"
             if why:
                 log.info("returning machine %s: %s", machine.name, why)
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -5,6 +5,10 @@
 import asyncio
 from dataclasses import replace
 
+import pytest
+
+from petrelthread.admin.api import DIRECT
+from petrelthread.admin.troubles import Troubles
 from petrelthread.admin.views import why
 from tests.test_faults import run
 from tests.world import SMALL, Worker, World, job
@@ -118,3 +122,118 @@
         await world.until_over(100.0)
 
     run(scenario)
+
+
+# ---- a controller that stands still while its clocks run on ------------------------------------
+
+
+@pytest.mark.parametrize("for_s", [2.5, 6.0, 13.0, 35.0])
+def test_a_leader_stands_still_and_wakes(for_s: float) -> None:
+    """For less and more than its lease and the workers'. It shows what others were told."""
+
+    async def scenario(world: World) -> None:
+        world.run_s = 20.0
+        await world.submit(job("wk-000001", 12, guess_s=20.0))
+        await world.submit(job("wk-000002", 12, crew="blue", guess_s=20.0))
+        await world.running(8)
+        rented = world.cloud.rented
+        old = await world.led()
+        still = asyncio.ensure_future(world.stand_still(old, for_s))
+        await asyncio.sleep(for_s / 2)
+        if for_s > 10.0:
+            assert world.leader not in (None, old)
+            await world.cancel("wk-000002")
+        await still
+        node = world.nodes[old]
+        await asyncio.sleep(0.1)
+        assert node.awake.stood_s >= for_s - 1.0
+        assert not node.election.leading or for_s < 3.0
+        status, got = await world.ask_admin(old, "status")
+        assert status == 200
+        assert got["leader"] == world.leader or world.leader is None
+        if for_s > 10.0:
+            _, told = await world.ask_admin(old, "jobs/wk-000002")
+            assert told["status"] == "aborted"
+        await world.until_over(200.0)
+        assert world.cloud.rented <= rented + 6  # the machines were not thrown away
+
+    run(scenario)
+
+
+def test_a_leader_that_still_leads_on_waking_returns_no_machine() -> None:
+    """An outage gives its lease the full time again: it woke as the leader, took every machine for
+    silent beyond its lease, and would have given them all back."""
+
+    async def scenario(world: World) -> None:
+        world.run_s = 60.0
+        await world.submit(job("wk-000001", 6, guess_s=60.0))
+        machines = {world.where(leg).name for leg in await world.running(6)}
+        old = await world.led()
+        world.store.outage(True)
+        await world.stand_still(old, 14.0)
+        world.store.outage(False)
+        await asyncio.sleep(8.0)
+        assert machines <= set(world.cloud.machines)
+        await world.until_over(200.0)
+
+    run(scenario)
+
+
+# ---- a controller down for 90 s, and what the operator sees ------------------------------------
+
+
+def test_the_leader_is_down_for_90_s() -> None:
+    async def scenario(world: World) -> None:
+        world.run_s = 10.0
+        for n in range(1, 5):
+            await world.submit(job(f"wk-{n:06d}", 12, crew=("red", "blue")[n % 2], guess_s=10.0))
+        await world.running(6)
+        old = await world.led()
+        world.crash(old)
+        at = now()
+        await world.led()
+        assert now() < at + 8.0  # lease, election and reload
+        await asyncio.sleep(at + 90.0 - now())
+        world.boot(old)
+        await world.until_over(100.0)
+
+    run(scenario)
+
+
+def test_a_node_refused_by_the_state_service_alone_says_so() -> None:
+    async def scenario(world: World) -> None:
+        world.run_s = 10.0
+        await world.submit(job("wk-000001", 12, guess_s=10.0))
+        await world.running(4)
+        refused = next(name for name in world.nodes if name != world.leader)
+        world.store.refused.add(refused)
+        await asyncio.sleep(6.0)
+        assert (await world.ask(refused, "GET", "/ready"))[0] == 503
+        _, got = await world.ask_admin(refused, f"status?{DIRECT}")
+        assert any("state service" in t["trouble"] for t in got["troubles"]), got["troubles"]
+        assert (await world.ask(refused, "POST", "/v2/runs", job("wk-000002", 1)))[0] == 503
+        other = next(name for name in world.nodes if name != refused)
+        assert (await world.ask(other, "GET", "/v2/runs/wk-000001"))[0] == 200
+        world.store.refused.clear()
+        await asyncio.sleep(3.0)
+        assert (await world.ask(refused, "GET", "/ready"))[0] == 200
+        await world.until_over(60.0)
+
+    run(scenario)
+
+
+def test_each_trouble_is_told_once_when_it_begins_and_once_when_it_is_over(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level("INFO")
+    troubles = Troubles()
+    troubles.update({"boots": "2 machines are late"}, 10.0)
+    troubles.update({}, 11.0)  # a flicker is not worth a line
+    assert not caplog.records
+    for at in range(20, 40):
+        troubles.update({"boots": f"{at} machines are late"}, float(at))
+    assert troubles.since("boots", 40.0) == 20.0
+    for at in range(40, 50):
+        troubles.update({}, float(at))
+    said = [record.getMessage() for record in caplog.records]
+    assert said == ["trouble: 22 machines are late", "trouble over after 20 s: boots"]
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import contextvars
 import selectors
 import time
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 from unittest import mock
 
+# Which process code runs in, as far as that one may stand still.
+PROCESS: contextvars.ContextVar[str] = contextvars.ContextVar("process", default="")
+Held = tuple[list[asyncio.Handle], Callable[..., Any], tuple[Any, ...], contextvars.Context]
+
 MOST_S = 1000.0
 WALL = 1_700_000_000.0
 
@@ -30,6 +35,8 @@
 class VirtualLoop(asyncio.SelectorEventLoop):
     def __init__(self) -> None:
         self.now = 100.0
+        self.still: set[str] = set()  # processes that stand still while clocks run on
+        self.held: dict[str, list[Held]] = {}
         selector = _Selector()
         selector.loop = self
         super().__init__(selector)
@@ -37,6 +44,56 @@
     def time(self) -> float:
         return self.now
 
+    # What a process that stands still would have run waits, in order, until it goes on.
+
+    def call_soon(  # type: ignore[override]
+        self, callback: Any, *args: Any, context: contextvars.Context | None = None
+    ) -> asyncio.Handle:
+        context = context or contextvars.copy_context()
+        box: list[asyncio.Handle] = []
+        guarded = self._unless_still(callback, context, box)
+        box.append(super().call_soon(guarded, *args, context=context))
+        return box[0]
+
+    def call_at(  # type: ignore[override]
+        self, when: float, callback: Any, *args: Any, context: contextvars.Context | None = None
+    ) -> asyncio.TimerHandle:
+        context = context or contextvars.copy_context()
+        box: list[asyncio.Handle] = []
+        guarded = self._unless_still(callback, context, box)
+        handle = super().call_at(when, guarded, *args, context=context)
+        box.append(handle)
+        return handle
+
+    def _unless_still(
+        self, callback: Any, context: contextvars.Context, box: list[asyncio.Handle]
+    ) -> Any:
+        process = context.get(PROCESS)
+        if not process:
+            return callback
+
+        def run(*args: Any) -> None:
+            if process in self.still:
+                self.held.setdefault(process, []).append((box, callback, args, context))
+            else:
+                callback(*args)
+
+        return run
+
+    def go_on(self, process: str) -> None:
+        self.still.discard(process)
+        for box, callback, args, context in self.held.pop(process, []):
+            if box and not box[0].cancelled():
+                super().call_soon(self._resumed(box, callback), *args, context=context)
+
+    @staticmethod
+    def _resumed(box: list[asyncio.Handle], callback: Any) -> Any:
+        def run(*args: Any) -> None:
+            if not box[0].cancelled():
+                callback(*args)
+
+        return run
+
 
 def play(main: Coroutine[Any, Any, Any]) -> Any:
     """Run a scenario to its end in virtual time."""
--- a/tests/world.py
+++ b/tests/world.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextvars
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -18,6 +19,7 @@
 from petrelthread.controller import Controller
 from petrelthread.http import NoAnswer, Reply
 from petrelthread.settings import Settings, parse
+from tests.virtual import PROCESS, VirtualLoop
 
 Handler = Callable[[str, str, str, Any], Awaitable[tuple[int, Any]]]
 # Decides the fate of a message: seconds of delay before it is carried out, and whether its answer
@@ -188,6 +190,8 @@
             raise NoAnswer("lost", True)
         if fate[0]:
             await asyncio.sleep(fate[0])
+        while host in self.world.loop.still:
+            await asyncio.sleep(0.05)  # it lies in the socket's buffer
         handler = self.hosts.get(addr)
         if handler is None:
             raise NoAnswer("gone", True)
@@ -648,7 +652,9 @@
     def boot(self, name: str) -> None:
         node = Controller(self.made_of.settings_of(name), self.net.requester(name), self.random)
         self.nodes[name] = node
-        self._running[name] = asyncio.ensure_future(node.run())
+        context = contextvars.copy_context()
+        context.run(PROCESS.set, name)
+        self._running[name] = context.run(asyncio.ensure_future, node.run())
 
         async def public(source: str, method: str, target: str, body: Any) -> tuple[int, Any]:
             data = orjson.dumps(body) if body is not None else b""
@@ -667,6 +673,18 @@
         self.nodes.pop(name)
         del self.net.hosts[f"{name}:1"], self.net.hosts[f"{name}:2"]
 
+    @property
+    def loop(self) -> VirtualLoop:
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, VirtualLoop)
+        return loop
+
+    async def stand_still(self, name: str, for_s: float) -> None:
+        """The process does nothing while its clocks run on; what comes for it waits."""
+        self.loop.still.add(name)
+        await asyncio.sleep(for_s)
+        self.loop.go_on(name)
+
     @property
     def leader(self) -> str | None:
         return next((n for n, node in self.nodes.items() if node.election.leading), None)
@@ -682,6 +700,11 @@
         reply = await self.net.requester("user")(f"{node}:1", method, target, body, timeout=5.0)
         return reply.status, orjson.loads(reply.body)
 
+    async def ask_admin(self, node: str, path: str) -> tuple[int, Any]:
+        request = self.net.requester("operator")
+        reply = await request(f"{node}:2", "GET", f"/admin/v1/{path}", timeout=5.0)
+        return reply.status, orjson.loads(reply.body)
+
     async def submit(self, spec: dict[str, Any], tries: int = 60) -> None:
         self.jobs[spec["name_id"]] = spec
         for _ in range(tries):
