A new leader repeats only young rentals; old ones are settled by a list

DESIGN: an unknown rental is superseded when a list taken well after the call lacks it. Ruled out: lost replies. Tests for boots: up at once with a lost answer, late, and never.

--- a/petrelthread/admin/views.py
+++ b/petrelthread/admin/views.py
@@ -104,7 +104,7 @@
     out: list[dict[str, Any]] = []
     for op in node.keeper.ops.values():
         if op.state is Op.UNKNOWN:
-            awaited = "the cloud's answer to the same request"
+            awaited = "the cloud's answer to the same request, or a list taken well after"
             if op.key.startswith("c/") and not node.book.open:
                 awaited = "a list taken well after, since it is no longer wanted"
             age_s = round(now - op.unknown_at, 1)
--- a/petrelthread/rental/keeper.py
+++ b/petrelthread/rental/keeper.py
@@ -82,6 +82,7 @@
         self.ops: dict[str, CloudOp] = {}
         self._serial = 0
         self._listed_at = float("-inf")
+        self._list_ok_at = float("-inf")  # when the newest list that was answered was asked for
         self._catalog_at = float("-inf")
         self._accepted: list[tuple[float, float]] = []  # (when, cores) of jobs that must start soon
         self._waiting_classes = {
@@ -180,12 +181,17 @@
                 continue
             if op.key.startswith("x/"):
                 await self._send_return(op, now)
-            elif self._book.open:
+                continue
+            age_s = max(now - op.unknown_at, time.time() - float(op.value["at"]))
+            old = age_s > 4 * self._settings.cluster.cloud.list_lag_s + 5.0
+            if self._book.open and not old:
                 # Still wanted: the same charter again rents nothing twice.
                 await self._send_rent(op, now)
-            elif now - op.unknown_at > 4 * self._settings.cluster.cloud.list_lag_s + 5.0:
-                # Not wanted: whatever a late request still rents shows in the list, unrecorded,
-                # idles there and goes back.
+            elif old and self._list_ok_at > op.unknown_at:
+                # Not wanted, or so old that the plan has asked anew for what is: refused calls of
+                # earlier leaders, not struck out yet, were repeated by the dozen at each take-over
+                # and rented what nobody needed. Whatever a late request still rents shows in the
+                # list, unrecorded: it is used, or idles there and goes back.
                 log.info("operation superseded: rental %s, no longer wanted", op.key)
                 move(op, Op.SUPERSEDED)
                 self._drop(op)
@@ -205,6 +211,7 @@
         except (CloudDown, CloudUnsure, NoCapacity) as error:
             log.info("cloud: no list: %s", error)
             return
+        self._list_ok_at = now
         names = set()
         for entry in listed:
             names.add(entry.name_id)
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import replace
+from typing import Any
 
 import pytest
 
@@ -237,3 +238,73 @@
         troubles.update({}, float(at))
     said = [record.getMessage() for record in caplog.records]
     assert said == ["trouble: 22 machines are late", "trouble over after 20 s: boots"]
+
+
+# ---- the cloud -------------------------------------------------------------------------------
+
+
+def test_a_new_leader_does_not_repeat_what_was_refused_to_the_old_one() -> None:
+    """Refused rentals whose records were not struck out yet were made anew at each take-over: up to
+    12 calls of 0.2 s before those that were needed, and machines that nobody needed."""
+
+    async def scenario(world: World) -> None:
+        world.cloud.capacity = {True: 0, False: 0}
+        node = world.nodes[await world.led()]
+        node.rounds._spare_writes = lambda now: 0  # no writes to spare for striking them out
+        await world.submit(job("wk-000001", 4, guess_s=10.0))
+        await asyncio.sleep(20.0)
+        old = set(world.cloud.asked)
+        assert len(old) > 3
+        await asyncio.sleep(25.0)
+        world.cloud.capacity = {True: 6, False: 6}
+        world.crash(node.settings.host_name)
+        await asyncio.sleep(60.0)
+        assert not old & set(world.cloud.charters)
+        await world.until_over(60.0)
+
+    run(scenario)
+
+
+def test_machines_up_at_once_are_used_though_the_answer_that_names_them_is_lost() -> None:
+    """Up within a second or two, they report before anybody has told us of them."""
+
+    async def scenario(world: World) -> None:
+        lost = 0
+
+        def fate(source: str, addr: str, method: str, target: str, body: Any) -> Any:
+            nonlocal lost
+            if addr == "cloud:1" and method == "POST" and target == "/hosts" and lost < 2:
+                lost += 1
+                return 0.0, True
+            return 0.0, False
+
+        world.net.fate = fate
+        await world.submit(job("wk-000001", 4))
+        await world.until_over(40.0)
+        assert lost == 2
+        assert world.cloud.rented <= 3  # none was rented a second time
+
+    quick = tuple({**hull, "startup_s": 0.3} for hull in SMALL.hulls)
+    run(scenario, made_of=replace(SMALL, hulls=quick))
+
+
+@pytest.mark.parametrize("never", [False, True])
+def test_machines_late_in_booting_or_never_up_are_replaced(never: bool) -> None:
+    async def scenario(world: World) -> None:
+        world.late_boots_s = 900.0 if never else 25.0
+        await world.submit(job("wk-000001", 8, guess_s=5.0))
+        await asyncio.sleep(3.0)
+        first = set(world.cloud.machines)
+        world.late_boots_s = 0.0
+        await asyncio.sleep(17.0)
+        others = set(world.cloud.machines) - first
+        assert others  # late ones are not counted on any more
+        _, got = await world.ask_admin("n0", "status")
+        if first & set(world.cloud.machines):
+            assert any("late in booting" in t["trouble"] for t in got["troubles"])
+        await asyncio.sleep(20.0)
+        if never:
+            assert not first & set(world.cloud.machines)  # they went back
+        await world.until_over(60.0)
+
+    run(scenario)
--- a/tests/world.py
+++ b/tests/world.py
@@ -416,7 +416,7 @@
         self.world.judge.left(leg, self.name)
 
     async def _run(self) -> None:
-        await asyncio.sleep(self.world.made_of.hulls[0]["startup_s"])
+        await asyncio.sleep(self.world.made_of.hulls[0]["startup_s"] + self.world.late_boots_s)
         self.up = True
         self.answered = self._now()
         self.world.net.hosts[f"{self.name}:9"] = self.handle
@@ -619,6 +619,7 @@
         self.run_s = 5.0
         self.run_s_of: dict[str, float] = {}  # by job, where it is not run_s
         self.spread_s = 0.0  # by how much the tasks of a job differ
+        self.late_boots_s = 0.0  # by how much machines rented now come up late
         self.mistaken: set[str] = set()  # jobs that fail on every machine
         self.bad_tasks: set[str] = set()  # and single tasks
         self.jobs: dict[str, dict[str, Any]] = {}
