A job that fails everywhere is on record: the next leader does not start it in full

One key for each such job, struck out when it completes a task or is over. Ruled out: cancellations late (users cancel after 100 s and more). Test: a take-over starts at most two more of its tasks.

--- a/petrelthread/fleet/failures.py
+++ b/petrelthread/fleet/failures.py
@@ -91,6 +91,11 @@
             for here in self._here.values():
                 here.pop(job, None)
 
+    def restore(self, job: int, machines: list[int]) -> None:
+        """An earlier leader found that it fails everywhere."""
+        self._failed_on[job] = set(machines)
+        self._judge_job(job)
+
     # ---- judgement -----------------------------------------------------------------------------
 
     def _judge_machines(self, machines: list[int]) -> list[int]:
--- a/petrelthread/fleet/table.py
+++ b/petrelthread/fleet/table.py
@@ -16,6 +16,7 @@
 DRIFT = 1.002
 BEFORE_RUNNING = ("", wire.FETCHING, wire.GATHERING)
 IGNORED_MOST = 3  # reports in a row without what they were told to start: it hears nothing
+SHOWN_ON = 8  # machines named in the record of a job that fails everywhere
 JOB_BACKOFF_S = 5.0
 JOB_BACKOFF_MOST_S = 60.0
 
@@ -68,6 +69,12 @@
         for job in self.book.open.values():
             if job.done:
                 self.failures.prove(job.index)
+            elif job.id in self.book.suspects:
+                # Judged anew by each leader, such a job started all its tasks again each time.
+                names = self.book.names.machines
+                on = [names.index(name) for name in self.book.suspects[job.id]]
+                self.failures.restore(job.index, on)
+                job.suspect_since = now
         for index in self.book.on_machine:
             self.machine(self.book.names.machines.name(index), now)
         for machine in list(self.machines.values()):
@@ -311,6 +318,23 @@
         """It fails on every machine: one task at a time is tried, and nothing waits for it."""
         return self.failures.trust(job.index) is Trust.SUSPECT
 
+    def new_suspects(self) -> dict[str, list[str]]:
+        """Jobs that fail everywhere and are not on record as such, with machines that show it."""
+        name = self.book.names.machines.name
+        return {
+            job.id: [name(index) for index in sorted(self.failures.failed_on(job.index))[:SHOWN_ON]]
+            for job in map(self.book.jobs.__getitem__, self.failures.unproven())
+            if job.final is None and self.suspect(job) and job.id not in self.book.suspects
+        }
+
+    def cleared_suspects(self) -> list[str]:
+        out = []
+        for job_id in self.book.suspects:
+            job = self.book.by_id.get(job_id)
+            if job is not None and (job.final is not None or not self.suspect(job)):
+                out.append(job_id)
+        return out
+
     def _completed(self, machine: Machine, job: Job, task: int) -> None:
         was_suspect = self.suspect(job)
         for index in self.failures.completed(job.index, machine.index):
--- a/petrelthread/ledger/book.py
+++ b/petrelthread/ledger/book.py
@@ -7,6 +7,7 @@
     r/<number>   one placement round: [machine, session, [[job, [task...]]...]]...;
                  without a machine: the tasks to be stopped
     d/<number>   finished tasks of many jobs, as ranges
+    s/<job>      machines on which a job failed that fails everywhere
     c/<charter>  one rental          x/<number>  one return
     lead, epoch, catalog, options
 """
@@ -296,6 +297,7 @@
         self.use = Use()
         self.rounds: dict[int, set[Attempt]] = {}
         self.done_records: dict[int, set[int]] = {}
+        self.suspects: dict[str, list[str]] = {}
         self.rentals: dict[str, Any] = {}
         self.returns: dict[str, list[str]] = {}
         self.catalog: Any = None
@@ -319,6 +321,11 @@
                 self.done_records.pop(int(rest), None)
             else:
                 self.apply_done(int(rest), value)
+        elif kind == "s":
+            if value is None:
+                self.suspects.pop(rest, None)
+            else:
+                self.suspects[rest] = value
         elif kind == "c":
             if value is None:
                 self.rentals.pop(rest, None)
--- a/petrelthread/placement/rounds.py
+++ b/petrelthread/placement/rounds.py
@@ -210,10 +210,13 @@
             ops.append(wire.put(f"{ROOT}r/{number}", record))
             marker = marker or f"r/{number}"
         more = len(rounds) < len(records)
+        suspects = self._fleet.new_suspects()
+        for job_id in list(suspects)[: max(0, self._ops_most - len(ops))]:
+            ops.append(wire.put(f"{ROOT}s/{job_id}", suspects[job_id]))
         # Settled records go only when the write rate has room to spare: a round that waits for its
         # turn behind a clean-up keeps tasks waiting.
         dead = [f"r/{n}" for n in book.dead_rounds()] + [f"d/{n}" for n in book.dead_done_records()]
-        dead += self.dead_keys
+        dead += self.dead_keys + [f"s/{job_id}" for job_id in self._fleet.cleared_suspects()]
         room = min(self._ops_most - len(ops), self._spare_writes(now) - len(ops))
         dropping = dead[: max(0, room)]
         ops += [wire.drop(ROOT + key) for key in dropping]
@@ -229,6 +232,10 @@
             return await self._refresh()
         for key in dropping:
             self._dropped(key)
+        for op in ops:
+            job_id = str(op.get("put", "")).removeprefix(f"{ROOT}s/")
+            if job_id in suspects:
+                self._book.suspects[job_id] = suspects[job_id]
         for job in completed:
             self._fleet.finished.pop(job.index, None)
             for attempt in list(job.live.values()):
@@ -282,6 +289,8 @@
             self._book.rounds.pop(int(number), None)
         elif kind == "d":
             self._book.done_records.pop(int(number), None)
+        elif kind == "s":
+            self._book.suspects.pop(number, None)
         elif key in self.dead_keys:
             self.dead_keys.remove(key)
 
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -19,6 +19,18 @@
     return asyncio.get_running_loop().time()
 
 
+def tries_of(world: World, job_id: str) -> int:
+    """How many starts of its tasks are on record."""
+    return sum(
+        len(tasks)
+        for key, value in world.store.puts
+        if key.startswith("pt/r/")
+        for _, _, jobs in value
+        for name, tasks in jobs
+        if name == job_id
+    )
+
+
 # ---- guests: a team without guarantee and limit, classes without objectives --------------------
 
 
@@ -68,9 +80,11 @@
         for n in range(1, 7):
             await world.submit(job(f"wk-{n:06d}", 12, crew=("red", "blue")[n % 2], guess_s=20.0))
         await asyncio.sleep(30.0)
+        begun = tries_of(world, "wk-000001")
         world.crash(await world.led())
         await asyncio.sleep(10.0)
         node = world.nodes[await world.led()]
+        assert tries_of(world, "wk-000001") <= begun + 2  # the new leader knows
         tries = [leg for leg in world.judge.started_at if leg.startswith("wk-000001/")]
         assert len(tries) < 12  # a full start, then one at a time
         said = why(node, node.book.by_id["wk-000001"], now())
@@ -86,6 +100,8 @@
         for broken in sorted(world.mistaken):
             assert await world.cancel(broken) == "aborted"
         await world.until_over(60.0)
+        await asyncio.sleep(5.0)
+        assert not [key for key in world.store.keys if key.startswith("pt/s/")]
 
     run(scenario)
 
