Controllers lend one another the writes they do not need

Loans of 3 s, named by the lender and counted there until they have surely ended; half of the share of siblings not heard for 10 s, within what all leave free.

--- a/petrelthread/controller.py
+++ b/petrelthread/controller.py
@@ -28,12 +28,13 @@
 from petrelthread.rental import CloudClient, Options
 from petrelthread.rental.keeper import Keeper
 from petrelthread.settings import Settings
-from petrelthread.store import ROOT, Budget, Mirror, Request, StateClient
+from petrelthread.store import ROOT, Budget, Mirror, Request, Shares, StateClient
 
 log = logging.getLogger(__name__)
 
 STATE_SHARE = 0.9  # of the service's limits, over all controllers
 LEADER_WRITES = 0.6
+UNHEARD_S = 10.0  # a sibling not heard for so long is likely to write nothing
 CLEAN_UP_KEEPS = 0.5  # of the write burst that dropping settled records leaves untouched
 ABSTAIN_S = 15.0
 READY_S = 3.0
@@ -62,7 +63,12 @@
         rps, wps = cluster.state.rps * STATE_SHARE, cluster.state.write_rps * STATE_SHARE
         self._reads = Budget(rps / nodes, rps / nodes / 2)
         self._writes = Budget(wps / nodes, wps / 2)
+        # Beyond its share a leader may use, for siblings not heard from, half of what they have;
+        # they may be alive. Together with what we leave free that stays within the limit.
+        self._write_margin = cluster.state.write_rps * (1 - STATE_SHARE)
         self._write_rates = (wps * LEADER_WRITES, wps * (1 - LEADER_WRITES) / max(1, nodes - 1))
+        self.shares = Shares(self._write_rates[1])
+        self._writes_of_late = 0.0
         names = NamesBook([team.name for team in cluster.teams], cluster.zones)
         self.book = Book(names)
         state = StateClient(request, settings.endpoints.state, self._reads, self._writes)
@@ -113,7 +119,14 @@
         self.fleet.on_class_time = estimates.learn
         self.fleet.cache_gb = self._cache_gb
         self.intake = Intake(settings, self.book, self.mirror, state, self.keeper.catalog)
-        self.gossip = Gossip(settings.siblings, request, self._hello, self._on_hello)
+        self.gossip = Gossip(
+            settings.siblings,
+            request,
+            self._hello,
+            self._on_hello,
+            self._lend,
+            self.shares.took,
+        )
         self.awake = Awake(self._on_still)
         self.troubles = Troubles()
         self.admin = Admin(self, request)
@@ -168,7 +181,8 @@
 
     def _on_role(self, role: Role) -> None:
         acting = role in ACTING
-        self._writes.rate = self._write_rates[0 if acting else 1]
+        self.shares.base = self._write_rates[0 if acting else 1]
+        self._set_write_rate(asyncio.get_running_loop().time())
         self.mirror.gap_s = 0.03 if acting else 0.15
 
     async def _on_elected(self) -> None:
@@ -205,11 +219,24 @@
             now - self.mirror.last_ok < READY_S,
             self._recent_reports(now),
             self.settings.zone,
+            asks=self.shares.base if self._writes.short(now) else 0.0,
         )
 
     def _on_hello(self, hello: Hello) -> None:
         self.election.saw_epoch(hello.epoch)
 
+    def _lend(self, hello: Hello) -> float:
+        now = asyncio.get_running_loop().time()
+        amount = self.shares.lend(hello.node, hello.asks, self._writes_of_late, now)
+        self._set_write_rate(now)
+        return amount
+
+    def _set_write_rate(self, now: float) -> None:
+        unheard = len(self.settings.siblings) - len(self.gossip.fresh(UNHEARD_S))
+        idle = unheard * self._write_rates[1] / 2 if self.election.role in ACTING else 0.0
+        self.shares.extra = min(self._write_margin, idle)
+        self._writes.set_rate(self.shares.rate(now), now)
+
     def _recent_reports(self, now: float) -> int:
         window = 2 * self.settings.cluster.workers.report_s
         while self._reports and now - self._reports[0] > window:
@@ -344,6 +371,7 @@
     async def _housekeeping(self) -> None:
         loop = asyncio.get_running_loop()
         late_s, told_at = 0.0, loop.time()
+        taken = 0.0
         while True:
             asked = loop.time()
             await asyncio.sleep(0.5)
@@ -351,6 +379,10 @@
             self.awake.look(now)
             self.troubles.update(now_wrong(self, now), now)
             late_s = max(late_s, now - asked - 0.5)
+            lately = (self._writes.taken - taken) / max(now - asked, 0.1)
+            taken = self._writes.taken
+            self._writes_of_late += (lately - self._writes_of_late) * 0.3
+            self._set_write_rate(now)
             if now - told_at > LOAD_EVERY_S:
                 if self.election.leading and log.isEnabledFor(logging.DEBUG):
                     log.debug("load: %s; late by %.2f s at most", self.view.load(), late_s)
--- a/petrelthread/peers/gossip.py
+++ b/petrelthread/peers/gossip.py
@@ -27,6 +27,8 @@
     state_ok: bool = False
     workers: int = 0  # reports taken in lately, answered with 200 or not
     zone: str = ""
+    asks: float = 0.0  # writes a second of the state service beyond its share, in a greeting
+    lends: float = 0.0  # what it gives of its own for a while, in the answer
 
 
 class Heard(msgspec.Struct):
@@ -41,11 +43,15 @@
         request: Request,
         mine: Callable[[], Hello],
         on_hello: Callable[[Hello], None],
+        lend: Callable[[Hello], float] = lambda hello: 0.0,
+        took: Callable[[str, float, float], None] = lambda lender, amount, asked_at: None,
     ) -> None:
         self._siblings = siblings
         self._request = request
         self._mine = mine
         self._on_hello = on_hello
+        self._lend = lend
+        self._took = took
         self.heard: dict[str, Heard] = {}
         self.wake = asyncio.Event()
 
@@ -61,10 +67,12 @@
         if method != "POST":
             return refusal(405, "use POST")
         try:
-            self.take(msgspec.convert(orjson.loads(body), Hello))
+            hello = msgspec.convert(orjson.loads(body), Hello)
         except (orjson.JSONDecodeError, msgspec.ValidationError) as error:
             return refusal(400, str(error))
-        return answer(200, msgspec.to_builtins(self._mine()))
+        self.take(hello)
+        mine = msgspec.structs.replace(self._mine(), lends=self._lend(hello))
+        return answer(200, msgspec.to_builtins(mine))
 
     async def run(self) -> None:
         await asyncio.gather(*(self._greet(sibling) for sibling in self._siblings))
@@ -72,12 +80,15 @@
     async def _greet(self, sibling: Sibling) -> None:
         while True:
             body = msgspec.to_builtins(self._mine())
+            asked_at = asyncio.get_running_loop().time()
             try:
                 reply = await self._request(
                     sibling.peer_addr, "POST", HELLO_PATH, body, timeout=0.8
                 )
                 if reply.status == 200:
-                    self.take(msgspec.convert(orjson.loads(reply.body), Hello))
+                    hello = msgspec.convert(orjson.loads(reply.body), Hello)
+                    self.take(hello)
+                    self._took(hello.node, hello.lends, asked_at)
             except (NoAnswer, orjson.JSONDecodeError, msgspec.ValidationError) as error:
                 log.debug("sibling %s: %s", sibling.host_name, error)
             await asyncio.sleep(EVERY_S)
--- a/petrelthread/store/__init__.py
+++ b/petrelthread/store/__init__.py
@@ -11,6 +11,7 @@
     StateUnsure,
 )
 from petrelthread.store.mirror import ROOT, Mirror
+from petrelthread.store.shares import Shares
 
 __all__ = [
     "ROOT",
@@ -19,6 +20,7 @@
     "Mirror",
     "NoSuchLease",
     "Request",
+    "Shares",
     "StateBusy",
     "StateClient",
     "StateDown",
--- a/petrelthread/store/client.py
+++ b/petrelthread/store/client.py
@@ -40,6 +40,9 @@
     """The lease is over."""
 
 
+SHORT_SHARE = 0.3
+
+
 class Budget:
     """A token bucket. All controllers together must stay below the service's limits."""
 
@@ -48,6 +51,7 @@
         self.burst = max(burst, 1.0)
         self._level = self.burst
         self._at: float | None = None
+        self.taken = 0.0  # in all
 
     def _refill(self, now: float) -> None:
         if self._at is not None:
@@ -59,9 +63,14 @@
         loop = asyncio.get_running_loop()
         self._refill(loop.time())
         self._level -= amount
+        self.taken += amount
         if self._level < 0:
             await asyncio.sleep(-self._level / self.rate)
 
+    def set_rate(self, rate: float, now: float) -> None:
+        self._refill(now)  # what has come so far came at the old rate
+        self.rate = rate
+
     def put_back(self, amount: float = 1.0) -> None:
         """Of what was taken, this was not used."""
         self._level = min(self.burst, self._level + amount)
@@ -71,6 +80,11 @@
         self._refill(now)
         return max(0, int(self._level - self.burst * keep_share))
 
+    def short(self, now: float) -> bool:
+        """Little is left: more than this rate is asked for."""
+        self._refill(now)
+        return self._level < self.burst * SHORT_SHARE
+
     def wait_s(self, now: float) -> float:
         """How long a request made now would have to wait."""
         self._refill(now)
