--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from dataclasses import replace
 from typing import Any
 
@@ -12,7 +13,7 @@
 from petrelthread.admin.troubles import Troubles
 from petrelthread.admin.views import why
 from tests.test_faults import run
-from tests.world import SMALL, Worker, World, job
+from tests.world import NODES, SMALL, Worker, World, job
 
 
 def now() -> float:
@@ -324,3 +325,93 @@
         await world.until_over(60.0)
 
     run(scenario)
+
+
+# ---- several troubles at once, drawn ------------------------------------------------------------
+
+
+KINDS = ["crash", "still", "refused", "outage", "no workers", "alone", "deaf", "hangs", "copies"]
+KINDS += ["late boots", "lost", "faulty"]
+
+
+async def trouble(world: World, chance: random.Random) -> None:
+    """One of all those we know, for a while."""
+    node = chance.choice(list(world.made_of.nodes))
+    if chance.random() < 0.5 and world.leader is not None:
+        node = world.leader
+    for_s = chance.choice([0.1, 1.5, 4.0, 12.0, 25.0])
+    others = {"state", "cloud", *NODES} - {node}
+    machines = set(world.cloud.machines)
+    kind = chance.choice(KINDS)
+    if kind == "crash" and node in world.nodes:
+        world.crash(node)
+        await asyncio.sleep(for_s)
+        world.boot(node)
+    elif kind == "still" and node in world.nodes and node not in world.loop.still:
+        await world.stand_still(node, for_s)
+    elif kind == "refused":
+        world.store.refused.add(node)
+        await asyncio.sleep(for_s)
+        world.store.refused.discard(node)
+    elif kind == "outage":
+        world.store.outage(True)
+        await asyncio.sleep(min(for_s, 12.0))
+        world.store.outage(False)
+    elif kind in ("no workers", "alone"):
+        cuts = {frozenset((node, m)) for m in (machines if kind == "no workers" else others)}
+        world.net.cut |= cuts
+        await asyncio.sleep(for_s)
+        world.net.cut -= cuts
+    elif kind == "copies":
+        world.net.copy = lambda source, addr, method, target: (
+            chance.uniform(0.1, 30.0) if method == "POST" and chance.random() < 0.2 else None
+        )
+        await asyncio.sleep(for_s)
+        world.net.copy = lambda *request: None
+    elif kind == "late boots":
+        world.late_boots_s = for_s
+        await asyncio.sleep(15.0)
+        world.late_boots_s = 0.0
+    elif machines:
+        name = chance.choice(sorted(machines))
+        worker: Worker = world.cloud.machines[name]["worker"]
+        if kind == "deaf":
+            world.net.deaf.add(name)
+            await asyncio.sleep(for_s)
+            world.net.deaf.discard(name)
+        elif kind == "hangs":
+            worker.frozen = True
+            await asyncio.sleep(for_s)
+            worker.frozen = False
+        elif kind == "faulty":
+            worker.faulty = True
+        else:
+            worker.kill()
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_several_troubles_at_once(seed: int) -> None:
+    """The rules, nobody forgotten, all served once the troubles are over."""
+
+    async def scenario(world: World) -> None:
+        chance = random.Random(seed)
+        world.spread_s = 8.0
+        world.mistaken.add("wk-000003")
+        for n in range(10):
+            crew = ("red", "blue", "guest")[n % 3]
+            rank = "low" if crew == "guest" else chance.choice(["standard", "high"])
+            more = {"mark_s": 2.0, "stow_s": 1.0} if crew == "guest" else {}
+            spec = job(f"wk-{n:06d}", chance.choice([1, 4, 20]), crew=crew, rank=rank, **more)
+            await world.submit({**spec, "cores": chance.choice([1.0, 2.0, 4.0])})
+        await world.running(2)
+        ends = []
+        for _ in range(8):
+            ends.append(asyncio.ensure_future(trouble(world, chance)))
+            await asyncio.sleep(chance.uniform(0.0, 8.0))
+            await world.poll()
+        await world.cancel("wk-000004")
+        await asyncio.gather(*ends)
+        assert await world.cancel("wk-000003") == "aborted"
+        await world.until_over(240.0)
+
+    run(scenario, seed)
