--- a/petrelthread/store/shares.py
+++ b/petrelthread/store/shares.py
@@ -11,8 +11,8 @@
 
 LOAN_S = 3.0
 DRIFT = 1.002
-KEEPS = 0.25  # of its share that a controller never lends
-NEED_MORE = 1.5  # times its writes of late that it may soon need
+KEEPS = 0.5  # of its share that a controller never lends: its users come in bursts
+NEED_MORE = 2.0  # times its writes of late that it may soon need
 
 
 class Loan(NamedTuple):
