A new leader reads workers by itself instead of waiting until they come

DESIGN: a new leader re-reads its view of workers. It asks each for its report and sends an empty command: what takes our token refuses older ones from then on, so that report is evidence. The cloud's list comes first after a take-over: it says where workers are. Ruled out: electing sooner (3 s lease).

--- a/petrelthread/controller.py
+++ b/petrelthread/controller.py
@@ -40,6 +40,7 @@
 READY_S = 3.0
 LOAD_EVERY_S = 5.0
 SILENCE_EVERY_S = 0.5
+GREET_S = 15.0  # after its election a leader reads workers that do not come by themselves
 COMMANDS_AT_ONCE = 24
 # The leader stores the catalogue for all. When each controller asked the cloud itself at the start,
 # that took most of the burst of calls that the first rentals needed.
@@ -89,12 +90,13 @@
         self._claims = claims
         estimates = Estimates()
         self.view = View(settings, self.book, self.fleet, lambda: self.keeper.hulls, estimates)
+        self.dispatch = Dispatch(self.fleet, commands or request, commands_at_once)
         self.rounds = Rounds(
             settings,
             self.book,
             self.fleet,
             claims,
-            Dispatch(self.fleet, commands or request, commands_at_once),
+            self.dispatch,
             self.view,
             self.mirror.fresh,
             lambda now: self._writes.spare(now, CLEAN_UP_KEEPS),
@@ -392,6 +394,8 @@
             await self._judge_hearing(now)
             if self.election.leading:
                 self._judge_zones(now)
+                if now - self.election.elected_at < GREET_S:
+                    self.dispatch.greet(now)
 
     def _judge_zones(self, now: float) -> None:
         """Say plainly when a zone falls over, and when it is back."""
--- a/petrelthread/fleet/dispatch.py
+++ b/petrelthread/fleet/dispatch.py
@@ -40,6 +40,36 @@
             if machine.newest_at >= machine.unanswered_at:
                 asyncio.create_task(self._send(machine, starting, stopping, self._fleet.epoch))
 
+    def greet(self, now: float) -> None:
+        """Read workers after a take-over (DESIGN: "re-reads its view of workers").
+
+        Those whose controller hangs find us only 5 s and more later, and until they have heard us
+        nothing may be placed on them.
+        """
+        for machine in self._fleet.to_greet(now):
+            machine.greeted_at = now
+            asyncio.create_task(self._greet(machine, self._fleet.epoch))
+
+    async def _greet(self, machine: Machine, token: int) -> None:
+        fleet = self._fleet
+        async with self._room:
+            if fleet.epoch != token or machine.epoch_heard == token:
+                return
+            try:
+                shown = await self._request(machine.addr, "GET", wire.SHOW_PATH, timeout=ANSWER_S)
+                session = wire.parse_report(shown.body).flight
+                # No orders: that it takes our token is all. From then on it refuses older ones.
+                body = wire.do_request(token, session, [])
+                reply = await self._request(
+                    machine.addr, "POST", wire.DO_PATH, body, timeout=ANSWER_S
+                )
+                report = wire.parse_report(reply.body)
+            except (NoAnswer, wire.BadRequest) as error:
+                log.debug("machine %s: not read: %s", machine.name, error)
+                return
+        if reply.status == 200 and fleet.epoch == token:
+            fleet.on_report(report, asyncio.get_running_loop().time(), answered=False)
+
     async def _send(
         self, machine: Machine, starting: list[Attempt], stopping: list[Attempt], token: int
     ) -> None:
--- a/petrelthread/fleet/machine.py
+++ b/petrelthread/fleet/machine.py
@@ -31,8 +31,10 @@
         "answering_since",
         "charter",
         "deaf",
+        "epoch_answered",
         "epoch_heard",
         "fault",
+        "greeted_at",
         "health",
         "heard_at",
         "idle_since",
@@ -76,6 +78,8 @@
         # The epoch in which the worker last showed that it knows that epoch: it has heard us, and
         # takes nothing from an older leader any more.
         self.epoch_heard = 0
+        self.epoch_answered = 0  # in which a report of it was last answered
+        self.greeted_at = float("-inf")  # when the leader last tried to read it by itself
         self.heard_at = now  # when it last did so
         self.newest_at = now  # when its newest message came
         self.answered_at = 0.0  # last instant at which an answer of ours may have renewed its lease
--- a/petrelthread/fleet/table.py
+++ b/petrelthread/fleet/table.py
@@ -14,6 +14,7 @@
 log = logging.getLogger(__name__)
 
 DRIFT = 1.002
+GREET_AGAIN_S = 4.0
 BEFORE_RUNNING = ("", wire.FETCHING, wire.GATHERING)
 IGNORED_MOST = 3  # reports in a row without what they were told to start: it hears nothing
 SHOWN_ON = 8  # machines named in the record of a job that fails everywhere
@@ -135,6 +136,19 @@
             job.progress[attempt.task] = job.progress.get(attempt.task, 0.0) + kept_s
         attempt.running_at = 0.0  # counted
 
+    def to_greet(self, now: float) -> list[Machine]:
+        """What may be up, and has not heard this leader: those with work first."""
+        out = [
+            machine
+            for machine in self.machines.values()
+            if machine.addr
+            and machine.epoch_heard != self.epoch
+            and machine.health not in (Health.GONE, Health.RETURNING)
+            and now - machine.greeted_at > GREET_AGAIN_S
+            and not machine.charter.startswith(f"c/{self.epoch}-")
+        ]
+        return sorted(out, key=lambda machine: machine.index not in self.book.on_machine)
+
     # ---- reports ---------------------------------------------------------------------------
 
     def on_report(self, report: wire.Report, now: float, answered: bool) -> Machine | None:
@@ -160,8 +174,14 @@
             # Only who knows our epoch is surely alive: copies of reports from before the election
             # do not. A worker not yet known gets as long as silence may last to show it.
             machine.heard_at = now
-        if answered and report.baton >= self.epoch:
+        if report.baton >= self.epoch:
+            if not answered and machine.epoch_heard != self.epoch:
+                # It has just taken our token from a command: until then an older leader may have
+                # renewed its lease, and nobody can any more.
+                machine.answered_at = machine.answering_since = now
             machine.epoch_heard = self.epoch
+        if answered:
+            machine.epoch_answered = self.epoch
         machine.newest_at = now
         machine.session, machine.tick = report.flight, report.tick
         machine.seen_token = max(machine.seen_token, report.baton)
@@ -464,8 +484,8 @@
         for machine in list(self.machines.values()):
             if machine.health in (Health.UP, Health.DRAINING):
                 grace = silent_s
-                if machine.epoch_heard != self.epoch:
-                    grace += 4.0
+                if machine.epoch_answered != self.epoch:
+                    grace += 4.0  # it may be with a controller that is gone, and looks for us
                 # Nothing was heard while we stood still: once, every machine was silent at once.
                 if now - max(machine.heard_at, self.awake_at) > grace:
                     log.info("machine %s is silent", machine.name)
--- a/petrelthread/fleet/test_table.py
+++ b/petrelthread/fleet/test_table.py
@@ -203,3 +203,21 @@
     assert not job.progress
     job.mark_s = 0.0
     assert job.lost_s(200.0, stopped=True) == 200.0
+
+
+def test_a_worker_that_took_our_token_from_a_command_has_heard_us() -> None:
+    # An older leader may have renewed its lease until just then, and nobody can any more.
+    fleet = fleet_at(100.0)
+    machine, attempt = started(fleet, (EPOCH - 1) << 20)
+    fleet.on_report(report(3, EPOCH), 101.0, answered=False)
+    assert fleet.may_serve(machine)
+    assert fleet.gone_at(machine) == pytest.approx(101.0 + LEASE_S, abs=1.0)
+    assert fleet.gone_at(machine) > 101.0 + LEASE_S
+    assert attempt.state is Op.SUPERSEDED  # it does not list it and refuses older tokens
+    fleet.tick_silence(108.0, 5.0)
+    assert machine.health.value == "up"  # it may be looking for us still
+    fleet.tick_silence(110.5, 5.0)
+    assert machine.health.value == "silent"
+    # The end of a lease that no answer of ours could have renewed is no sign of deafness.
+    fleet.on_report(report(1, EPOCH, session=2), 112.5, answered=True)
+    assert not machine.deaf
--- a/petrelthread/rental/keeper.py
+++ b/petrelthread/rental/keeper.py
@@ -154,6 +154,9 @@
     async def step(self, now: float) -> None:
         """One turn: settle, plan, make the calls, list."""
         await self.read_catalog(now)
+        if self._listed_at == float("-inf") and (self._book.rentals or self._fleet.machines):
+            # The list tells a new leader where its workers are, so that it can read them.
+            await self._read_list(now)
         await self._settle(now)
         if not self.hulls or not self._leading():
             return
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -257,6 +257,29 @@
     assert said == ["trouble: 22 machines are late", "trouble over after 20 s: boots"]
 
 
+def test_a_new_leader_reads_workers_whose_controller_hangs() -> None:
+    """They wait 4 s for its answer and 1 s more; until they came, nothing was placed on them."""
+
+    async def scenario(world: World) -> None:
+        world.run_s = 4.0
+        await world.submit(job("wk-000001", 60, guess_s=4.0))
+        await world.running(6)
+        old = await world.led()
+        still = asyncio.ensure_future(world.stand_still(old, 30.0))
+        while world.leader in (None, old):
+            await asyncio.sleep(0.1)
+        elected = now()
+        node = world.nodes[str(world.leader)]
+        await asyncio.sleep(1.8)
+        usable = sum(node.fleet.may_serve(m) for m in node.fleet.machines.values())
+        assert usable >= 3, usable
+        assert now() - elected < 2.0
+        await still
+        await world.until_over(200.0)
+
+    run(scenario)
+
+
 # ---- the cloud -------------------------------------------------------------------------------
 
 
