--- a/petrelthread/controller.py
+++ b/petrelthread/controller.py
@@ -190,7 +190,7 @@
     async def _on_elected(self) -> None:
         now = asyncio.get_running_loop().time()
         epoch = self.election.epoch
-        self.fleet.take_over(epoch, now)
+        self.fleet.take_over(epoch, now, self.book.recorded_machines())
         self.rounds.take_over(epoch)
         self.keeper.take_over(now)
         self.zone_watch.clear()
--- a/petrelthread/fleet/table.py
+++ b/petrelthread/fleet/table.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any
 
 from petrelthread import wire
@@ -61,8 +61,13 @@
         ours = machine.epoch_heard == self.epoch or machine.charter.startswith(f"c/{self.epoch}-")
         return machine.open and ours
 
-    def take_over(self, epoch: int, now: float) -> None:
-        """Everything known before is hearsay now, until workers have reported again."""
+    def take_over(self, epoch: int, now: float, recorded: Collection[str] = ()) -> None:
+        """Everything known before is hearsay now, until workers have reported again.
+
+        ``recorded``: machines that rentals and returns name. Others, if there are any, report or
+        are listed. A leader that had led before counted 120 machines, long since returned by
+        others, as its capacity, and gave back those that had come up since as never up.
+        """
         self.epoch = epoch
         self.elected_at = now
         self.finished.clear()  # workers report again what is not durable
@@ -79,10 +84,11 @@
         for index in self.book.on_machine:
             self.machine(self.book.names.machines.name(index), now)
         for machine in list(self.machines.values()):
-            if machine.health is Health.GONE:
+            known = machine.name in recorded or machine.index in self.book.on_machine
+            if machine.health is Health.GONE or not known:
                 del self.machines[machine.index]
                 continue
-            machine.heard_at = now
+            machine.heard_at = machine.known_at = now
             machine.idle_since = now
             machine.sending = 0
             if machine.health is Health.BOOTING and machine.index in self.book.on_machine:
--- a/petrelthread/fleet/test_table.py
+++ b/petrelthread/fleet/test_table.py
@@ -221,3 +221,13 @@
     # The end of a lease that no answer of ours could have renewed is no sign of deafness.
     fleet.on_report(report(1, EPOCH, session=2), 112.5, answered=True)
     assert not machine.deaf
+
+
+def test_a_leader_that_led_before_forgets_machines_that_are_on_no_record() -> None:
+    fleet = fleet_at(100.0)
+    with_work, _ = started(fleet, EPOCH << 20)
+    rented, gone = fleet.machine("host-000002", 100.0), fleet.machine("host-000003", 100.0)
+    fleet.take_over(EPOCH + 2, 300.0, {"host-000002"})
+    assert set(fleet.machines.values()) == {with_work, rented}
+    assert rented.known_at == 300.0  # whether it came up meanwhile is not known
+    assert fleet.known(gone.name) is None
--- a/petrelthread/ledger/book.py
+++ b/petrelthread/ledger/book.py
@@ -487,6 +487,11 @@
                 for task in range(ranges[at], ranges[at + 1] + 1):
                     self.mark_done(job, task)
 
+    def recorded_machines(self) -> set[str]:
+        """Those that rentals and returns on record name."""
+        rented = [value.get("m") or () for value in self.rentals.values()]
+        return {name for names in [*rented, *self.returns.values()] for name in names}
+
     # ---- what may be dropped ---------------------------------------------------------------
 
     def dead_rounds(self) -> list[int]:
