--- a/petrelthread/controller.py
+++ b/petrelthread/controller.py
@@ -229,13 +229,18 @@
 
     def _lend(self, hello: Hello) -> float:
         now = asyncio.get_running_loop().time()
-        amount = self.shares.lend(hello.node, hello.asks, self._writes_of_late, now)
+        # Only who has not written for a while lends: after a burst of submissions at the start a
+        # loan kept the next users waiting for longer than they expect.
+        asks = hello.asks if self._writes.full(now) else 0.0
+        amount = self.shares.lend(hello.node, asks, self._writes_of_late, now)
         self._set_write_rate(now)
         return amount
 
     def _set_write_rate(self, now: float) -> None:
         unheard = len(self.settings.siblings) - len(self.gossip.fresh(UNHEARD_S))
-        idle = unheard * self._write_rates[1] / 2 if self.election.role in ACTING else 0.0
+        if self.election.role not in ACTING or now - self.election.elected_at < UNHEARD_S:
+            unheard = 0
+        idle = unheard * self._write_rates[1] / 2
         self.shares.extra = min(self._write_margin, idle)
         self._writes.set_rate(self.shares.rate(now), now)
 
--- a/petrelthread/store/client.py
+++ b/petrelthread/store/client.py
@@ -41,6 +41,7 @@
 
 
 SHORT_SHARE = 0.3
+FULL_SHARE = 0.8
 
 
 class Budget:
@@ -85,6 +86,11 @@
         self._refill(now)
         return self._level < self.burst * SHORT_SHARE
 
+    def full(self, now: float) -> bool:
+        """Next to nothing was asked for lately."""
+        self._refill(now)
+        return self._level > self.burst * FULL_SHARE
+
     def wait_s(self, now: float) -> float:
         """How long a request made now would have to wait."""
         self._refill(now)
