--- a/petrelthread/controller.py
+++ b/petrelthread/controller.py
@@ -186,6 +186,10 @@
         self.shares.base = self._write_rates[0 if acting else 1]
         self._set_write_rate(asyncio.get_running_loop().time())
         self.mirror.gap_s = 0.03 if acting else 0.15
+        if role is Role.LEADING:
+            # At once: until the catalogue is read, the first users are sent away for a second.
+            self.keeper.wake.set()
+            self.rounds.wake.set()
 
     async def _on_elected(self) -> None:
         now = asyncio.get_running_loop().time()
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -442,3 +442,18 @@
         await world.until_over(240.0)
 
     run(scenario, seed)
+
+
+def test_the_first_users_are_not_sent_away_for_want_of_the_catalogue() -> None:
+    """A new leader read it only at its next turn, up to 1.5 s later: 503, and 1 s until they ask."""
+
+    async def scenario(world: World) -> None:
+        await world.led()
+        await asyncio.sleep(0.3)
+        world.jobs["wk-000001"] = job("wk-000001", 2)
+        status, answer = await world.ask("n0", "POST", "/v2/runs", world.jobs["wk-000001"])
+        assert status == 201
+        world.judge.told("wk-000001", status, answer)
+        await world.until_over(60.0)
+
+    run(scenario)
