--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -43,7 +44,10 @@
     assert not left  # every call to the cloud is settled and struck out
 
 
-def test_rental_reply_lost_after_it_was_carried_out() -> None:
+@pytest.mark.parametrize("startup_s", [5.0, 0.3])
+def test_rental_reply_lost_after_it_was_carried_out(startup_s: float) -> None:
+    """Machines up within a second report before anybody has told us of them."""
+
     async def scenario(world: World) -> None:
         lost = 0
 
@@ -59,7 +63,8 @@
         await world.until_over(60.0)
         assert lost == 2
 
-    world = run(scenario)
+    hulls = tuple({**hull, "startup_s": startup_s} for hull in SMALL.hulls)
+    world = run(scenario, made_of=replace(SMALL, hulls=hulls))
     assert world.cloud.rented <= 3  # 4 tasks of 2 cores on machines of 4: repeated, not rented anew
 
 
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -5,7 +5,6 @@
 import asyncio
 import random
 from dataclasses import replace
-from typing import Any
 
 import pytest
 
@@ -305,29 +304,6 @@
     run(scenario)
 
 
-def test_machines_up_at_once_are_used_though_the_answer_that_names_them_is_lost() -> None:
-    """Up within a second or two, they report before anybody has told us of them."""
-
-    async def scenario(world: World) -> None:
-        lost = 0
-
-        def fate(source: str, addr: str, method: str, target: str, body: Any) -> Any:
-            nonlocal lost
-            if addr == "cloud:1" and method == "POST" and target == "/hosts" and lost < 2:
-                lost += 1
-                return 0.0, True
-            return 0.0, False
-
-        world.net.fate = fate
-        await world.submit(job("wk-000001", 4))
-        await world.until_over(40.0)
-        assert lost == 2
-        assert world.cloud.rented <= 3  # none was rented a second time
-
-    quick = tuple({**hull, "startup_s": 0.3} for hull in SMALL.hulls)
-    run(scenario, made_of=replace(SMALL, hulls=quick))
-
-
 @pytest.mark.parametrize("never", [False, True])
 def test_machines_late_in_booting_or_never_up_are_replaced(never: bool) -> None:
     async def scenario(world: World) -> None:
