--- a/petrelthread/controller.py
+++ b/petrelthread/controller.py
@@ -35,6 +35,7 @@
 STATE_SHARE = 0.9  # of the service's limits, over all controllers
 LEADER_WRITES = 0.6
 UNHEARD_S = 10.0  # a sibling not heard for so long is likely to write nothing
+LEND_AFTER_S = 20.0  # since the start, and since the service last refused us for our rate
 CLEAN_UP_KEEPS = 0.5  # of the write burst that dropping settled records leaves untouched
 ABSTAIN_S = 15.0
 READY_S = 3.0
@@ -70,6 +71,7 @@
         self._write_rates = (wps * LEADER_WRITES, wps * (1 - LEADER_WRITES) / max(1, nodes - 1))
         self.shares = Shares(self._write_rates[1])
         self._writes_of_late = 0.0
+        self._started_at = float("inf")
         names = NamesBook([team.name for team in cluster.teams], cluster.zones)
         self.book = Book(names)
         state = StateClient(request, settings.endpoints.state, self._reads, self._writes)
@@ -225,7 +227,7 @@
             now - self.mirror.last_ok < READY_S,
             self._recent_reports(now),
             self.settings.zone,
-            asks=self.shares.base if self._writes.short(now) else 0.0,
+            asks=self.shares.base if self._writes.short(now) and self._may_lend(now) else 0.0,
         )
 
     def _on_hello(self, hello: Hello) -> None:
@@ -233,16 +235,22 @@
 
     def _lend(self, hello: Hello) -> float:
         now = asyncio.get_running_loop().time()
-        # Only who has not written for a while lends: after a burst of submissions at the start a
-        # loan kept the next users waiting for longer than they expect.
-        asks = hello.asks if self._writes.full(now) else 0.0
+        # Only who has not written for a while lends.
+        asks = hello.asks if self._writes.full(now) and self._may_lend(now) else 0.0
         amount = self.shares.lend(hello.node, asks, self._writes_of_late, now)
         self._set_write_rate(now)
         return amount
 
+    def _may_lend(self, now: float) -> bool:
+        """Not while bursts are spent, at the start above all: there is nothing to lend then. What
+        the leader wrote on loans was refused to submissions, whose users came back 1 s later.
+        """
+        refused = now - self.state.refused_at < LEND_AFTER_S
+        return not refused and now - self._started_at > LEND_AFTER_S
+
     def _set_write_rate(self, now: float) -> None:
         unheard = len(self.settings.siblings) - len(self.gossip.fresh(UNHEARD_S))
-        if self.election.role not in ACTING or now - self.election.elected_at < UNHEARD_S:
+        if self.election.role not in ACTING or not self._may_lend(now):
             unheard = 0
         idle = unheard * self._write_rates[1] / 2
         self.shares.extra = min(self._write_margin, idle)
@@ -313,6 +321,7 @@
     # ---- loops -----------------------------------------------------------------------------------
 
     async def run(self) -> None:
+        self._started_at = asyncio.get_running_loop().time()
         await asyncio.gather(
             self.mirror.follow(),
             self.election.run(),
--- a/petrelthread/store/client.py
+++ b/petrelthread/store/client.py
@@ -111,6 +111,7 @@
         self._addr = addr
         self.reads = reads
         self.writes = writes
+        self.refused_at = float("-inf")  # when the service last found our rates too high
 
     async def _call(
         self, method: str, target: str, body: Any = None, timeout: float = 1.0, urgent: bool = False
@@ -124,6 +125,7 @@
                 raise StateUnsure(str(error)) from None
             raise StateDown(str(error)) from None
         if reply.status == 429:
+            self.refused_at = asyncio.get_running_loop().time()
             raise StateBusy("status 429")
         if reply.status == 503:
             raise StateDown("status 503")
