A follower may ask for writes at any time; the leader not while bursts are spent

Ruled out: the leader's loans (none then), the state service's own 429 (six, all served on the next try).

--- a/petrelthread/controller.py
+++ b/petrelthread/controller.py
@@ -227,7 +227,7 @@
             now - self.mirror.last_ok < READY_S,
             self._recent_reports(now),
             self.settings.zone,
-            asks=self.shares.base if self._writes.short(now) and self._may_lend(now) else 0.0,
+            asks=self.shares.base if self._writes.short(now) and self._may_ask(now) else 0.0,
         )
 
     def _on_hello(self, hello: Hello) -> None:
@@ -236,21 +236,24 @@
     def _lend(self, hello: Hello) -> float:
         now = asyncio.get_running_loop().time()
         # Only who has not written for a while lends.
-        asks = hello.asks if self._writes.full(now) and self._may_lend(now) else 0.0
+        asks = hello.asks if self._writes.full(now) else 0.0
         amount = self.shares.lend(hello.node, asks, self._writes_of_late, now)
         self._set_write_rate(now)
         return amount
 
-    def _may_lend(self, now: float) -> bool:
-        """Not while bursts are spent, at the start above all: there is nothing to lend then. What
-        the leader wrote on loans was refused to submissions, whose users came back 1 s later.
+    def _may_ask(self, now: float) -> bool:
+        """A follower always: at the start the users of all may come to the two that are up first,
+        who sent them away though the others wrote nothing. The leader not while bursts are spent:
+        what it wrote on loans then was refused to submissions, whose users came back 1 s later.
         """
+        if self.election.role not in ACTING:
+            return True
         refused = now - self.state.refused_at < LEND_AFTER_S
         return not refused and now - self._started_at > LEND_AFTER_S
 
     def _set_write_rate(self, now: float) -> None:
         unheard = len(self.settings.siblings) - len(self.gossip.fresh(UNHEARD_S))
-        if self.election.role not in ACTING or not self._may_lend(now):
+        if self.election.role not in ACTING or not self._may_ask(now):
             unheard = 0
         idle = unheard * self._write_rates[1] / 2
         self.shares.extra = min(self._write_margin, idle)
