Workers are answered only as long as all that may be cancelled unread is gone in time

Cause: the hold-over was counted from the last renewal of the lease. A renewal shows that nobody newer leads, not that this node has read what others wrote: with its watch lost or slow for 8 s while renewals went through, then an outage, tasks of a job cancelled at another node ran 37 s and more (cancel_s 36). Now it is counted from the newest complete read as well. A lease that comes back after an outage commands nothing before the missed changes are read; the right to halt what has a durable final state needs no lead; starts are claimed only while no final state exists, and sent only while what was cancelled is known until a moment ago. A reload of all keys takes nothing back that a watch told meanwhile.

--- a/petrelthread/controller.py
+++ b/petrelthread/controller.py
@@ -93,6 +93,7 @@
         estimates = Estimates()
         self.view = View(settings, self.book, self.fleet, lambda: self.keeper.hulls, estimates)
         self.dispatch = Dispatch(self.fleet, commands or request, commands_at_once)
+        self.dispatch.may_start = lambda: self.election.starting
         self.rounds = Rounds(
             settings,
             self.book,
@@ -314,11 +315,14 @@
                 home = None
             return answer(421, wire.go_to(home))
         if election.role is Role.TAKING_OVER:
-            return answer(200, wire.checkin_answer(election.epoch, []))
+            return answer(200, wire.checkin_answer(election.epoch, self.fleet.halts(report)))
         machine = self.fleet.on_report(report, now, answered=True)
-        orders = []
-        if machine is not None and election.leading:
-            orders = self.fleet.orders(machine, report, now)
+        if not election.leading:
+            orders = self.fleet.halts(report)
+        elif machine is not None:
+            orders = self.fleet.orders(machine, report, now, election.starting)
+        else:
+            orders = []
         return answer(200, wire.checkin_answer(election.epoch, orders))
 
     # ---- loops -----------------------------------------------------------------------------------
--- a/petrelthread/fleet/dispatch.py
+++ b/petrelthread/fleet/dispatch.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from typing import Any
 
 from petrelthread import wire
@@ -23,6 +24,7 @@
         self._fleet = fleet
         self._request = request
         self._room = asyncio.Semaphore(at_once)
+        self.may_start: Callable[[], bool] = lambda: True
 
     def send(self, launches: list[Attempt], stops: list[Attempt]) -> None:
         """Send what a won claim allows. What is lost on the way rides on check-in answers."""
@@ -77,11 +79,14 @@
         session = machine.session
         reply = None
         async with self._room:
-            # What waited here may have gone out with the answer to a report meanwhile.
+            # What waited here may have gone out with the answer to a report meanwhile, or this
+            # controller may have lost the right to start it.
+            may_start = self.may_start()
             going = [
                 a
                 for a in starting
-                if a.state is Op.DISPATCHING
+                if may_start
+                and a.state is Op.DISPATCHING
                 and a.session == session
                 and not a.told
                 and not a.job.final
--- a/petrelthread/fleet/table.py
+++ b/petrelthread/fleet/table.py
@@ -423,8 +423,23 @@
     def unwanted(self, attempt: Attempt) -> bool:
         return attempt.job.final is not None
 
-    def orders(self, machine: Machine, report: wire.Report, now: float) -> list[dict[str, Any]]:
-        """What the worker has to be told, given the report just taken in."""
+    def halts(self, report: wire.Report) -> list[dict[str, Any]]:
+        """Only what needs no right to command: a final state is durable and never changes."""
+        out: list[dict[str, Any]] = []
+        for leg in report.legs:
+            job_id, task = leg.task
+            job = self.book.by_id.get(job_id)
+            if leg.status != wire.ENDED and job is not None and job.final is not None:
+                out.append(wire.halt(job_id, task, leg.try_, 0))
+        return out
+
+    def orders(
+        self, machine: Machine, report: wire.Report, now: float, starting: bool = True
+    ) -> list[dict[str, Any]]:
+        """What the worker has to be told, given the report just taken in.
+
+        ``starting``: it is known what was cancelled until a moment ago; else nothing is started.
+        """
         out: list[dict[str, Any]] = []
         there = self.attempts(machine)
         listed: set[tuple[int, int]] = set()
@@ -445,7 +460,7 @@
                 out.append(wire.halt(job_id, task, leg.try_, 0))
             elif attempt.halted_at:
                 out.append(wire.halt(job_id, task, leg.try_, attempt.job.grace_s))
-        if machine.sending:
+        if machine.sending or not starting:
             return out
         again = False
         for key, attempt in list(there.items()):
--- a/petrelthread/leadership/election.py
+++ b/petrelthread/leadership/election.py
@@ -97,12 +97,17 @@
     @property
     def acting(self) -> bool:
         """May answer workers with 200: nobody newer is known, and the hold-over is not over."""
-        return self.role in ACTING and self._now() < self._renewed_at + self._hold_over_s
+        return self.role in ACTING and self._now() < self._hold_over_end()
 
     @property
     def leading(self) -> bool:
         return self.role is Role.LEADING and self._now() < self._lease_end()
 
+    @property
+    def starting(self) -> bool:
+        """May tell workers to start something: it knows what was cancelled until a moment ago."""
+        return self.leading and self._now() < self._mirror.last_ok + LIFE_S
+
     @property
     def home(self) -> str | None:
         return self.leader["node"] if self.leader else None
@@ -122,6 +127,15 @@
     def _lease_end(self) -> float:
         return self._renewed_at + LIFE_S / DRIFT
 
+    def _hold_over_end(self) -> float:
+        """Until when workers may be answered.
+
+        A renewal shows that nobody newer leads, not that this node has read what others wrote: its
+        watch may have stood still, or its answers been lost, while renewals went through. Whatever
+        is not known here was cancelled after the newest complete read.
+        """
+        return min(self._renewed_at, self._mirror.last_ok) + self._hold_over_s
+
     # ---- what others show --------------------------------------------------------------------
 
     def on_key(self, key: str, value: Any, stamp: int) -> None:
@@ -270,7 +284,9 @@
             if self.role in ACTING and lease == self._lease:
                 self._renewed_at = started
                 if self.role is Role.HOLDING_OVER and self._caught_up:
-                    self._move(Role.LEADING, "lease renewed after all")
+                    # What others wrote meanwhile has to be read before anything is commanded.
+                    if await self._mirror.fresh() and self.role is Role.HOLDING_OVER:
+                        self._move(Role.LEADING, "lease renewed after all")
                 elif self.role is Role.HOLDING_OVER:
                     # The outage came in the middle of the take-over: it has to be done again.
                     self._move(Role.TAKING_OVER, "lease renewed after all")
@@ -283,7 +299,7 @@
         except (StateDown, StateUnsure) as error:
             now = self._now()
             if self.role in ACTING and now > self._lease_end():
-                if now > self._renewed_at + self._hold_over_s:
+                if now > self._hold_over_end():
                     self._step_down("the hold-over is over")
                 elif self.role is not Role.HOLDING_OVER:
                     self._move(Role.HOLDING_OVER, f"state service: {error}")
--- a/petrelthread/placement/rounds.py
+++ b/petrelthread/placement/rounds.py
@@ -30,6 +30,8 @@
 
 log = logging.getLogger(__name__)
 
+CONDITIONS = 4  # of a transaction, for each change that it may make
+FENCE = 3  # conditions that each claim has anyway: lead, epoch and its marker
 Placement = tuple[Job, int, Machine]  # job, task, machine
 
 
@@ -200,6 +202,7 @@
             done_number = self.next_number()
             marker = f"d/{done_number}"
             ops.append(wire.put(ROOT + marker, done_record))
+        placements, cut = self._while_wanted(placements, absent)
         entries = [(m.name, m.session, job.id, task) for job, task, m in placements]
         entries += [(STOPS, 0, a.job.id, a.task) for a in stops]
         records = pack_round(entries, self._value_most)
@@ -209,7 +212,7 @@
             rounds.append((number, record))
             ops.append(wire.put(f"{ROOT}r/{number}", record))
             marker = marker or f"r/{number}"
-        more = len(rounds) < len(records)
+        more = cut or len(rounds) < len(records)
         suspects = self._fleet.new_suspects()
         for job_id in list(suspects)[: max(0, self._ops_most - len(ops))]:
             ops.append(wire.put(f"{ROOT}s/{job_id}", suspects[job_id]))
@@ -278,6 +281,21 @@
         self._dispatch.send(launched, stopped)
         return more or bool(self._fleet.finished)
 
+    def _while_wanted(
+        self, placements: list[Placement], absent: list[str]
+    ) -> tuple[list[Placement], bool]:
+        """Claim starts only of jobs that nobody has called off, as far as one claim can say.
+
+        A cancellation may be confirmed elsewhere a moment before the mirror here shows it, and
+        from then on no task of the job may start. Adds to ``absent``; True if some had to wait.
+        """
+        room = CONDITIONS * self._ops_most - len(absent) - FENCE
+        jobs = dict.fromkeys(job.id for job, _, _ in placements)
+        kept = set(list(jobs)[: max(1, room)])
+        absent += [f"f/{job_id}" for job_id in jobs if job_id in kept]
+        out = [placement for placement in placements if placement[0].id in kept]
+        return out, len(out) < len(placements)
+
     def _release_ended(self, job: Job) -> None:
         for attempt in list(job.live.values()):
             if attempt.ended:
--- a/petrelthread/store/mirror.py
+++ b/petrelthread/store/mirror.py
@@ -28,12 +28,19 @@
         self.stamps: dict[str, int] = {}
         self.revision = 0
         self.loaded = asyncio.Event()
+        # Everything that the service held at this instant is known here: the start of the newest
+        # complete read. An answer that came later may still be older than a change after its start.
         self.last_ok = float("-inf")
         self._round: asyncio.Task[bool] | None = None
         self._next_round: asyncio.Task[bool] | None = None
 
     async def load(self) -> None:
-        """Read all keys. Changes during the reading come again by the watch from its start."""
+        """Read all keys. Changes during the reading come again by the watch from its start.
+
+        Another read may have told newer things meanwhile, this controller's own claims among them:
+        what is older than those changes nothing, and the revision never goes back.
+        """
+        started = asyncio.get_running_loop().time()
         found: dict[str, tuple[Any, int]] = {}
         first: int | None = None
         after: str | None = None
@@ -45,13 +52,15 @@
             if not page.more or not page.pairs:
                 break
             after = page.pairs[-1].path
-        for key in [key for key in self.stamps if key not in found]:
-            self._tell(key, None, first)
+        reached = self.revision  # by a watch, which told everything up to it
+        for key, told in list(self.stamps.items()):
+            if key not in found and told <= first:
+                self._tell(key, None, first)
         for key, (value, stamp) in sorted(found.items(), key=lambda item: item[1][1]):
-            if self.stamps.get(key) != stamp:
+            if stamp > max(reached, self.stamps.get(key, 0)):
                 self._tell(key, value, stamp)
-        self.revision = first
-        self.last_ok = asyncio.get_running_loop().time()
+        self.revision = max(reached, first)
+        self.last_ok = max(self.last_ok, started)
         self.loaded.set()
 
     def _tell(self, key: str, value: Any, stamp: int) -> None:
--- a/tests/world.py
+++ b/tests/world.py
@@ -9,7 +9,7 @@
 import asyncio
 import contextvars
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
@@ -305,10 +305,10 @@
                 and str(event.get("put") or event.get("drop")).startswith(query["prefix"])
             ]
             quiet = self.down or source in self.refused
-            if (log and not quiet) or self._now() >= end:
+            if not quiet and (log or self._now() >= end):
                 return 200, {"epoch": self.revision, "log": log}
             try:
-                async with asyncio.timeout(min(0.2, end - self._now())):
+                async with asyncio.timeout(min(0.2, max(end - self._now(), 0.05))):
                     await self.changed.wait()
             except TimeoutError:
                 pass
@@ -706,10 +706,12 @@
         reply = await request(f"{node}:2", "GET", f"/admin/v1/{path}", timeout=5.0)
         return reply.status, orjson.loads(reply.body)
 
-    async def submit(self, spec: dict[str, Any], tries: int = 60) -> None:
+    async def submit(
+        self, spec: dict[str, Any], tries: int = 60, nodes: Sequence[str] = ()
+    ) -> None:
         self.jobs[spec["name_id"]] = spec
         for _ in range(tries):
-            for node in self.made_of.nodes:
+            for node in nodes or self.made_of.nodes:
                 try:
                     status, answer = await self.ask(node, "POST", "/v2/runs", spec)
                 except NoAnswer:
