Scenarios of meetings: close looks, lost answers, limits, hand-overs, quick boots, old reports

Each brings its meeting about in virtual time and is judged by its whole course. The judge is stricter: nobody is left waiting for 90 s once all is calm, and no job is called cancelled that its user did not cancel.

--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -10,7 +11,7 @@
 from petrelthread.http import NoAnswer
 from petrelthread.leadership import Role
 from tests.test_faults import run
-from tests.world import NODES, World, job
+from tests.world import NODES, SMALL, Fate, World, job
 
 
 def now() -> float:
@@ -24,13 +25,7 @@
 async def cancelled_at(world: World, job_id: str, nodes: list[str]) -> bool:
     """One try to cancel at each of these nodes. True if one of them confirmed it."""
     for node in nodes:
-        try:
-            status, answer = await world.ask(node, "POST", f"/v2/runs/{job_id}/withdraw")
-        except NoAnswer:
-            continue
-        world.judge.told(job_id, status, answer)
-        if status == 200 and answer["status"] == "aborted":
-            world.judge.cancelled[job_id] = now()
+        if await world.try_to_cancel(job_id, node) == "aborted":
             return True
     return False
 
@@ -146,3 +141,313 @@
         await world.until_over(60.0)
 
     run(scenario)
+
+
+# ---- transactions whose answer is lost, at once or late ----------------------------------------
+
+
+def lost_answers(world: World, share: float, late: bool) -> Fate:
+    """That share of all transactions gets no answer; they are carried out now or 2 to 12 s later"""
+
+    def fate(source: str, addr: str, method: str, target: str, body: Any) -> Any:
+        if target == "/multi" and world.random.random() < share:
+            return (world.random.uniform(2.0, 12.0) if late else 0.0), True
+        return 0.0, False
+
+    return fate
+
+
+async def look_closely(world: World, job_id: str) -> None:
+    """Ask all nodes at the same moment, and repeat the submission there."""
+
+    async def one(node: str, method: str, path: str, body: Any) -> None:
+        try:
+            status, answer = await world.ask(node, method, path, body)
+        except NoAnswer:
+            return
+        world.judge.told(job_id, status, answer)
+        assert status not in (400, 422), (job_id, node, answer)
+
+    asks = [one(node, "GET", f"/v2/runs/{job_id}", None) for node in world.nodes]
+    asks += [one(node, "POST", "/v2/runs", world.jobs[job_id]) for node in world.nodes]
+    await asyncio.gather(*asks)
+
+
+@pytest.mark.parametrize("trouble", ["none", "lost", "late", "slow", "leader ends", "rolls"])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_users_look_closely_at_all_nodes(trouble: str, seed: int) -> None:
+    """Right after a job was accepted, ended or cancelled no node may answer anything older."""
+
+    async def scenario(world: World) -> None:
+        await world.led()
+        if trouble in ("lost", "late"):
+            world.net.fate = lost_answers(world, 0.3, trouble == "late")
+        elif trouble == "slow":
+            world.net.fate = lambda source, addr, method, target, body: (
+                (world.random.uniform(0.0, 0.8), False) if addr == "state:1" else (0.0, False)
+            )
+
+        async def user(number: int) -> None:
+            job_id = f"wk-{number:06d}"
+            await asyncio.sleep(number * 1.5)
+            spec = job(job_id, 1 + number % 3, crew=("red", "blue", "guest")[number % 3])
+            await world.submit(spec)
+            await look_closely(world, job_id)
+            if number % 3 == 0:
+                await asyncio.sleep(world.random.choice([0.0, 2.0, 6.0]))
+                await world.cancel(job_id)
+                await look_closely(world, job_id)
+            for _ in range(40):
+                await asyncio.sleep(0.5)
+                await look_closely(world, job_id)
+                if world.judge.answers.get(job_id) in ("done", "aborted"):
+                    await look_closely(world, job_id)
+                    return
+
+        users = [asyncio.ensure_future(user(n)) for n in range(12)]
+        for _ in range(4):
+            await asyncio.sleep(4.0)
+            if trouble == "leader ends":
+                leader = await world.led()
+                world.crash(leader)
+                await asyncio.sleep(world.random.choice([0.1, 2.0]))
+                world.boot(leader)
+            elif trouble == "rolls":
+                for name in NODES:
+                    world.crash(name)
+                    await asyncio.sleep(0.3)
+                    world.boot(name)
+                    await asyncio.sleep(0.5)
+        await asyncio.gather(*users)
+        world.net.fate = None
+        world.judge.calm_at = now()
+        await world.until_over(150.0)
+
+    run(scenario, seed)
+
+
+@pytest.mark.parametrize("late", [False, True])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_transactions_without_an_answer_while_leaders_end(late: bool, seed: int) -> None:
+    """Submissions, cancellations, claims, elections and final states; late ones after newer ones"""
+
+    async def scenario(world: World) -> None:
+        world.spread_s = 6.0
+        world.net.fate = lost_answers(world, 0.35, late)
+        for n in range(6):
+            await world.submit(job(f"wk-{n:06d}", 6, crew=("red", "blue")[n % 2], guess_s=10.0))
+        await world.running(2)
+        for n in range(5):
+            await asyncio.sleep(world.random.uniform(1.0, 7.0))
+            leader = world.leader
+            if leader is not None:
+                world.crash(leader)
+                await asyncio.sleep(world.random.choice([0.05, 0.4, 3.0]))
+                world.boot(leader)
+            await cancelled_at(world, f"wk-{n:06d}", list(world.nodes)) if n % 2 else None
+            await world.poll()
+        world.net.fate = None
+        world.judge.calm_at = now()
+        await world.until_over(200.0)
+
+    run(scenario, seed)
+
+
+# ---- cancelled while machines can't be asked, and the leader changes ---------------------------
+
+
+@pytest.mark.parametrize("lost", ["cut", "hangs", "deaf"])
+@pytest.mark.parametrize("change", ["crash", "quick", "refused", "still"])
+def test_every_team_at_its_limit_while_jobs_on_lost_machines_are_cancelled(
+    lost: str, change: str
+) -> None:
+    """Cancelled tasks count in their team's limit until they are surely gone, for each leader."""
+
+    async def scenario(world: World) -> None:
+        world.run_s = 60.0
+        for n in range(6):
+            await world.submit(job(f"wk-{n:06d}", 6, crew=("red", "blue")[n % 2], guess_s=60.0))
+        legs = await world.running(12)  # both limits of 12 cores
+        first = {leg.rpartition("/")[0] for leg in legs}
+        names = {world.where(leg).name for leg in legs[:5]}
+        workers = [world.cloud.machines[name]["worker"] for name in names]
+        if lost == "cut":
+            world.net.cut |= {frozenset((name, node)) for name in names for node in NODES}
+        elif lost == "deaf":
+            world.net.deaf |= names
+        else:
+            for worker in workers:
+                worker.frozen = True
+        await asyncio.gather(*(world.cancel(job_id) for job_id in sorted(first)[:2]))
+        leader = await world.led()
+        if change == "still":
+            await world.stand_still(leader, 8.0)
+        elif change == "refused":
+            world.store.refused.add(leader)
+            await asyncio.sleep(8.0)
+            world.store.refused.clear()
+        else:
+            world.crash(leader)
+            await asyncio.sleep(0.1 if change == "quick" else 5.0)
+            world.boot(leader)
+        for _ in range(16):
+            await asyncio.sleep(0.5)
+            world.judge.cancels()
+        for worker in workers:
+            worker.frozen = False
+        world.net.deaf.clear()
+        world.net.cut.clear()
+        world.judge.calm_at = now()
+        for _ in range(40):
+            await asyncio.sleep(1.0)
+            await world.poll()
+            world.judge.cancels()
+        for job_id in world.jobs:
+            await world.cancel(job_id)
+        await world.until_over(100.0)
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("change", ["crash", "quick", "resigns", "rolls", "refused"])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_jobs_are_cancelled_while_the_work_changes_hands(change: str, seed: int) -> None:
+    """Before, during and after the take-over, at whatever node is there."""
+
+    async def scenario(world: World) -> None:
+        world.run_s = 50.0
+        for n in range(10):
+            crew = ("red", "blue", "guest")[n % 3]
+            await world.submit(job(f"wk-{n:06d}", 2, crew=crew, guess_s=50.0))
+        await world.running(8)
+
+        async def users() -> None:
+            for n in range(8):
+                await asyncio.sleep(world.random.uniform(0.0, 0.9))
+                await world.cancel(f"wk-{n:06d}")
+                await look_closely(world, f"wk-{n:06d}")
+
+        cancelling = asyncio.ensure_future(users())
+        await asyncio.sleep(0.5)
+        leader = await world.led()
+        if change == "resigns":
+            await world.nodes[leader].election.resign("a test asks for it", 15.0)
+        elif change == "refused":
+            world.store.refused.add(leader)
+            await asyncio.sleep(6.0)
+            world.store.refused.clear()
+        else:
+            for name in [leader] if change != "rolls" else [*others(leader), leader]:
+                world.crash(name)
+                await asyncio.sleep(3.0 if change == "crash" else 0.2)
+                world.boot(name)
+                await asyncio.sleep(0.4)
+        await cancelling
+        await asyncio.sleep(12.0)
+        left = {leg.rpartition("/")[0] for leg, machines in world.judge.on.items() if machines}
+        assert not left & set(world.judge.cancelled)
+        world.judge.calm_at = now()
+        await world.until_over(150.0)
+
+    run(scenario, seed)
+
+
+# ---- machines that are up at once, old reports, small jobs in numbers --------------------------
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_machines_are_up_at_once_while_writes_lag_and_the_leader_ends(seed: int) -> None:
+    """A start is on record before it is sent, so that the next leader knows of it."""
+
+    async def scenario(world: World) -> None:
+        world.run_s = 15.0
+        await world.led()
+        world.net.fate = lambda source, addr, method, target, body: (
+            (world.random.uniform(0.3, 0.9), world.random.random() < 0.1)
+            if target == "/multi"
+            else (0.0, False)
+        )
+        for n in range(4):
+            await world.submit(job(f"wk-{n:06d}", 6, crew=("red", "blue")[n % 2], guess_s=15.0))
+        for _ in range(4):
+            await asyncio.sleep(world.random.uniform(0.4, 5.0))
+            leader = await world.led()
+            world.crash(leader)
+            await asyncio.sleep(world.random.choice([0.1, 1.5]))
+            world.boot(leader)
+        world.net.fate = None
+        world.judge.calm_at = now()
+        await world.until_over(200.0)
+
+    run(scenario, seed, replace(SMALL, hulls=({**SMALL.hulls[0], "startup_s": 0.3},)))
+
+
+@pytest.mark.parametrize("after_s", [0.0, 0.3, 1.0, 4.0])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_old_reports_reach_every_controller_as_a_new_leader_begins(
+    after_s: float, seed: int
+) -> None:
+    """Of earlier sessions and attempts too: what they lack or show proves nothing any more."""
+
+    async def scenario(world: World) -> None:
+        world.spread_s = 8.0
+        kept: list[tuple[str, Any]] = []
+
+        def keep(source: str, addr: str, method: str, target: str, body: Any) -> Any:
+            if target == "/checkin" and world.random.random() < 0.4:
+                kept.append((source, body))
+            return 0.0, False
+
+        world.net.fate = keep
+        for n in range(5):
+            await world.submit(job(f"wk-{n:06d}", 6, crew=("red", "blue")[n % 2], guess_s=10.0))
+        legs = await world.running(6)
+        lost = world.where(legs[0])
+        world.net.cut |= {frozenset((lost.name, node)) for node in NODES}  # its session ends
+        await asyncio.sleep(11.0)
+        world.net.cut.clear()
+        for _ in range(3):
+            leader = await world.led()
+            world.crash(leader)
+            await world.led()
+            await asyncio.sleep(after_s)
+            old, kept[:] = world.random.sample(kept, min(len(kept), 30)), []
+            for source, body in old:
+                for node in list(world.nodes):
+                    handler = world.net.hosts[f"{node}:1"]
+                    await handler(source, "POST", "/checkin", body)
+            world.boot(leader)
+            await asyncio.sleep(world.random.uniform(1.0, 6.0))
+        world.net.fate = None
+        world.judge.calm_at = now()
+        await world.until_over(200.0)
+
+    run(scenario, seed)
+
+
+def test_small_jobs_come_four_a_second_and_a_quarter_is_cancelled() -> None:
+    """All are accepted, none is forgotten, and cancellations are confirmed without delay."""
+
+    async def scenario(world: World) -> None:
+        await world.led()
+        world.run_s = 2.0
+        slow: list[float] = []
+
+        async def user(number: int) -> None:
+            job_id = f"wk-{number:06d}"
+            await world.submit(job(job_id, 1, crew="guest", cores=0.5, guess_s=2.0))
+            if number % 4 == 0:
+                await asyncio.sleep(world.random.uniform(0.0, 2.0))
+                asked = now()
+                await world.cancel(job_id)
+                slow.append(now() - asked)
+
+        users = []
+        for n in range(240):
+            users.append(asyncio.ensure_future(user(n)))
+            await asyncio.sleep(0.25)
+        await asyncio.gather(*users)
+        assert max(slow) < 2.0
+        await world.until_over(60.0)
+
+    run(scenario)
--- a/tests/world.py
+++ b/tests/world.py
@@ -543,6 +543,8 @@
         self.started_at: dict[str, float] = {}
         self.starts = 0
         self.cancelled: dict[str, float] = {}
+        self.asked_to_cancel: set[str] = set()
+        self.waiting_since: dict[str, float] = {}  # jobs with tasks that wait, once all is calm
         self.answers: dict[str, str] = {}
         self.answered_at: dict[str, float] = {}
         self.calm_at: float | None = None  # since when all troubles are over
@@ -588,6 +590,35 @@
             if now - since > 75.0:
                 self.broken.append(f"forgotten: no answer about {job_id} for {now - since:.0f} s")
 
+    def nobody_left_waiting(self) -> None:
+        """Once all troubles are over, no job waits 90 s while a machine and its team have room."""
+        now = asyncio.get_running_loop().time()
+        if self.calm_at is None:
+            return
+        free: dict[str, float] = {}
+        for machine in self.world.cloud.machines.values():
+            if machine["worker"].up and not machine["worker"].faulty:
+                free[machine["name_id"]] = float(self.world.made_of.hulls[0]["cores"])
+        for leg, machines in self.on.items():
+            for name in machines & free.keys():
+                free[name] -= self.world.jobs[leg.rpartition("/")[0]]["cores"]
+        for job_id, spec in self.world.jobs.items():
+            legs = [f"{job_id}/{n}" for n in range(spec["legs"])]
+            over = self.answers.get(job_id) in (None, "done", "aborted")
+            over = over or job_id in self.world.mistaken
+            room = any(
+                cores >= spec["cores"]
+                and (spec["driftwood"] or not self.world.cloud.machines[name]["driftwood"])
+                and spec.get("roost") in (None, self.world.cloud.machines[name]["roost"])
+                for name, cores in free.items()
+            )
+            used = self.used.get(spec["crew"], 0.0) + spec["cores"]
+            waits = any(leg not in self.completed and not self.on.get(leg) for leg in legs)
+            if over or not waits or not room or used > self.world.limits[spec["crew"]]:
+                self.waiting_since.pop(job_id, None)
+            elif now - self.waiting_since.setdefault(job_id, now) > 90.0:
+                self.broken.append(f"left waiting: {job_id} since {self.waiting_since[job_id]:.1f}")
+
     def told(self, job_id: str, status: int, answer: dict[str, Any]) -> None:
         if status == 404:
             if job_id in self.answers:
@@ -600,6 +631,8 @@
             self.broken.append(f"invented: {job_id}")
         state = answer["status"]
         before = self.answers.get(job_id)
+        if state == "aborted" and job_id not in self.asked_to_cancel:
+            self.broken.append(f"went_back: {job_id} cancelled by nobody")
         if before in ("done", "aborted") and state != before:
             self.broken.append(f"went_back: {job_id} {before} to {state}")
         self.answers[job_id] = state
@@ -725,17 +758,25 @@
     async def cancel(self, job_id: str) -> str:
         while True:
             for node in self.made_of.nodes:
-                try:
-                    status, answer = await self.ask(node, "POST", f"/v2/runs/{job_id}/withdraw")
-                except NoAnswer:
-                    continue
-                self.judge.told(job_id, status, answer)
-                if status == 200:
-                    if answer["status"] == "aborted":
-                        self.judge.cancelled[job_id] = asyncio.get_running_loop().time()
-                    return str(answer["status"])
+                final = await self.try_to_cancel(job_id, node)
+                if final is not None:
+                    return final
             await asyncio.sleep(1.0)
 
+    async def try_to_cancel(self, job_id: str, node: str) -> str | None:
+        """Ask one node once. The job's final state if it says one."""
+        self.judge.asked_to_cancel.add(job_id)
+        try:
+            status, answer = await self.ask(node, "POST", f"/v2/runs/{job_id}/withdraw")
+        except NoAnswer:
+            return None
+        self.judge.told(job_id, status, answer)
+        if status != 200:
+            return None
+        if answer["status"] == "aborted":
+            self.judge.cancelled.setdefault(job_id, asyncio.get_running_loop().time())
+        return str(answer["status"])
+
     async def poll(self) -> None:
         for job_id in self.jobs:
             for node in self.made_of.nodes:
@@ -745,6 +786,7 @@
                     continue
                 self.judge.told(job_id, status, answer)
         self.judge.nothing_forgotten()
+        self.judge.nobody_left_waiting()
 
     async def until_over(self, within_s: float) -> None:
         """Poll every job on every node until all have reached their final state."""
