Limits of the state service that will come hold from the first write (state.next)

The smaller of both for each limit, derived in one place. A claim refused with 400 is not repeated unchanged and holds up no other. A repeat of a job that was accepted under the larger limit gets 200 also from a node that has not read it yet: it would have got 400.

--- a/petrelthread/intake/checks.py
+++ b/petrelthread/intake/checks.py
@@ -12,6 +12,10 @@
     """The job can never run; the text says why."""
 
 
+class TooLarge(Exception):
+    """Its description exceeds what the state service keeps."""
+
+
 class NotYetKnown(Exception):
     """Machine types are not known yet."""
 
--- a/petrelthread/intake/intake.py
+++ b/petrelthread/intake/intake.py
@@ -13,7 +13,7 @@
 from petrelthread import wire
 from petrelthread.http import Response, answer
 from petrelthread.http.server import refusal
-from petrelthread.intake.checks import CannotRun, NotYetKnown, check_runnable
+from petrelthread.intake.checks import CannotRun, NotYetKnown, TooLarge, check_runnable
 from petrelthread.ledger import Book, Job
 from petrelthread.settings import Settings
 from petrelthread.store import (
@@ -81,16 +81,18 @@
             # Accepted once, it is never judged again, whatever the repeat says.
             return await self._state_of(spec.name_id)
         value = Job.encode(spec, time.time())
-        if len(orjson.dumps(value)) > self._limits.value_kb * 1000:
-            return refusal(400, "the description is too large to keep")
         try:
+            if len(orjson.dumps(value)) > self._limits.value_kb * 1000:
+                raise TooLarge("the description is too large to keep")
             check_runnable(spec, self._teams, self._hulls())
-        except (CannotRun, NotYetKnown) as error:
+        except (TooLarge, CannotRun, NotYetKnown) as error:
             # The mirror may lag behind: an accepted job must never be told that it cannot run.
             if not await self._mirror.fresh():
                 return refusal(503, "state service unreachable", OUTAGE_RETRY_S)
             if spec.name_id in self._book.by_id:
                 return await self._state_of(spec.name_id)
+            if isinstance(error, TooLarge):
+                return refusal(400, str(error))
             if isinstance(error, NotYetKnown):
                 return refusal(503, str(error), RETRY_S)
             return refusal(422, str(error))
--- a/petrelthread/intake/test_intake.py
+++ b/petrelthread/intake/test_intake.py
@@ -9,6 +9,7 @@
 import pytest
 
 from petrelthread import wire
+from petrelthread.ledger import Job
 from tests.virtual import play
 from tests.world import World, job
 
@@ -114,3 +115,21 @@
         assert asyncio.get_running_loop().time() - asked < 1.0  # never held back for long
 
     play(main())
+
+
+def test_a_description_beyond_the_limit_is_400_unless_it_was_accepted_before() -> None:
+    """The limit had been larger when the job was accepted, and this node has not read it yet."""
+
+    async def main() -> None:
+        world = World()
+        await world.led()
+        large = job("wk-000001", 1, bundle="img-" + "x" * 5000)
+        status, answer = await world.ask("n1", "POST", "/v2/runs", large)
+        assert status == 400 and "too large" in answer["error"]
+        spec = wire.parse_job(orjson.dumps(large))
+        world.store._apply([{"put": "pt/j/wk-000001", "v": Job.encode(spec, 0.0)}])
+        for node in ("n1", "n2"):
+            status, answer = await world.ask(node, "POST", "/v2/runs", large)
+            assert (status, answer["name_id"]) == (200, "wk-000001")
+
+    play(main())
--- a/petrelthread/ledger/claims.py
+++ b/petrelthread/ledger/claims.py
@@ -9,7 +9,15 @@
 from typing import Any
 
 from petrelthread import wire
-from petrelthread.store import ROOT, Conflict, NoSuchLease, StateClient, StateDown, StateUnsure
+from petrelthread.store import (
+    ROOT,
+    Conflict,
+    NoSuchLease,
+    StateClient,
+    StateDown,
+    StateRefused,
+    StateUnsure,
+)
 
 log = logging.getLogger(__name__)
 
@@ -59,6 +67,11 @@
                     if any(key in ("lead", "epoch") for key in failed):
                         return Outcome.FENCED, failed
                     return Outcome.CLASHED, failed
+                except StateRefused as error:
+                    # The same again would be refused for ever, and all else waits behind it. If an
+                    # earlier copy counted, its records show, and nothing of it has been sent.
+                    log.error("claim %s: %s", marker, error)
+                    return Outcome.CLASHED, ()
                 except StateUnsure as error:
                     log.info("claim %s unanswered: %s", marker, error)
                     unsure = True
--- a/petrelthread/ledger/test_ledger.py
+++ b/petrelthread/ledger/test_ledger.py
@@ -3,24 +3,33 @@
 from __future__ import annotations
 
 import random
+from typing import Any
 
 import orjson
 import pytest
 
+from petrelthread import wire
+from petrelthread.http import Reply
 from petrelthread.ledger import (
     Attempt,
     Book,
+    Claims,
     IllegalMove,
     Job,
     NamesBook,
     Op,
+    Outcome,
     move,
     pack_done,
     pack_round,
 )
+from petrelthread.store import Budget, StateClient
 from petrelthread.wire import ABORTED, DONE, parse_job
+from tests.virtual import play
 from tests.world import job
 
+OK = b'{"epoch":7}'
+
 
 def book_of(jobs: dict[str, int]) -> Book:
     book = Book(NamesBook(["red", "blue"], ["a", "b"]))
@@ -132,3 +141,21 @@
             all_there = [a for there in book.on_machine.values() for a in there.values()]
             used = [a.job.cores for a in all_there if not a.ended and a.job.team == team]
             assert book.use.team(team).cores == pytest.approx(sum(used))
+
+
+def test_a_claim_beyond_a_limit_is_not_repeated_and_holds_up_no_other() -> None:
+    """Repeated unchanged it would be refused for ever, with every other claim behind it."""
+    asked: list[str] = []
+
+    async def request(addr: str, method: str, target: str, body: Any, timeout: float) -> Reply:
+        asked.append(body["apply"][0]["put"])
+        return Reply(400, b'{"error":"value too large"}') if len(asked) == 1 else Reply(200, OK)
+
+    async def main() -> None:
+        client = StateClient(request, "state:1", Budget(100.0, 100.0), Budget(100.0, 100.0))
+        claims = Claims(client, lambda: [])
+        assert (await claims.claim([wire.put("large", "x" * 9999)], "large"))[0] is Outcome.CLASHED
+        assert (await claims.claim([wire.put("small", 1)], "small"))[0] is Outcome.WON
+        assert asked == ["large", "small"]
+
+    play(main())
--- a/petrelthread/settings/__init__.py
+++ b/petrelthread/settings/__init__.py
@@ -58,11 +58,35 @@
     cancel_s: float
 
 
+class NextState(msgspec.Struct, frozen=True):
+    """Limits that the state service will have from some moment on, without notice."""
+
+    rps: float | None = None
+    write_rps: float | None = None
+    value_kb: float | None = None
+    txn_ops: int | None = None
+
+
 class State(msgspec.Struct, frozen=True):
     rps: float
     write_rps: float
     value_kb: float
     txn_ops: int
+    next: NextState | None = None
+
+    def in_force(self) -> State:
+        """The smaller of both for each limit: what is written never breaks either.
+
+        Nobody tells when the new ones begin, so they hold from the first write. Everything else
+        reads this alone.
+        """
+        after = self.next or NextState()
+        return State(
+            min(self.rps, self.rps if after.rps is None else after.rps),
+            min(self.write_rps, self.write_rps if after.write_rps is None else after.write_rps),
+            min(self.value_kb, self.value_kb if after.value_kb is None else after.value_kb),
+            min(self.txn_ops, self.txn_ops if after.txn_ops is None else after.txn_ops),
+        )
 
 
 class Cloud(msgspec.Struct, frozen=True):
@@ -115,6 +139,11 @@
     return host, int(port)
 
 
+def _announced(state: State) -> list[tuple[str, float]]:
+    given = {} if state.next is None else msgspec.structs.asdict(state.next)
+    return [(field, float(number)) for field, number in given.items() if number is not None]
+
+
 def _check(settings: Settings) -> None:
     addrs = [
         ("bind", settings.bind),
@@ -138,12 +167,13 @@
         ("cluster.state.value_kb", c.state.value_kb),
         ("cluster.state.txn_ops", float(c.state.txn_ops)),
         ("cluster.cloud.rps", c.cloud.rps),
+        *((f"cluster.state.next.{field}", number) for field, number in _announced(c.state)),
         ("cluster.cloud.list_lag_s", c.cloud.list_lag_s),
     ]
     for field, number in positive:
         if not (math.isfinite(number) and number > 0):
             raise SettingsError(f"{field}: must be a finite number above 0, got {number}")
-    if c.state.txn_ops < 3:
+    if c.state.in_force().txn_ops < 3:
         raise SettingsError("cluster.state.txn_ops: at least 3 changes a transaction are needed")
     names = [team.name for team in c.teams]
     if len(set(names)) != len(names):
@@ -165,7 +195,9 @@
     except msgspec.ValidationError as error:
         raise SettingsError(str(error)) from None
     _check(settings)
-    return settings
+    cluster = settings.cluster
+    cluster = msgspec.structs.replace(cluster, state=cluster.state.in_force())
+    return msgspec.structs.replace(settings, cluster=cluster)
 
 
 def load(path: str | Path) -> Settings:
--- a/petrelthread/settings/test_settings.py
+++ b/petrelthread/settings/test_settings.py
@@ -34,6 +34,8 @@
         ("lease_s = 10.0", "lease_s = -1.0", "lease_s"),
         ("lease_s = 10.0", "lease_s = inf", "lease_s"),
         ("txn_ops = 8", "txn_ops = 1", "txn_ops"),
+        ("[cluster.state]", "[cluster.state.next]\ntxn_ops = 1\n[cluster.state]", "txn_ops"),
+        ("[cluster.state]", "[cluster.state.next]\nvalue_kb = -1.0\n[cluster.state]", "next.value"),
         ("cpus = 4.0", "cpus = -4.0", "teams[0].cpus"),
         ('state = "state:1"', "", "state"),
         ("count = 3", "count = [", "TOML"),
@@ -44,6 +46,15 @@
         parse(GOOD.replace(old, new, 1))
 
 
+def test_limits_that_will_come_hold_from_the_first_write() -> None:
+    """They begin without notice; a larger one, or none, changes nothing."""
+    now = parse(GOOD).cluster.state
+    text = GOOD + "[cluster.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\nwrite_rps = 100.0\n"
+    later = parse(text).cluster.state
+    assert (later.value_kb, later.txn_ops) == (2.0, 4)
+    assert (later.write_rps, later.rps) == (now.write_rps, now.rps)
+
+
 def test_missing_file_is_named(tmp_path: object) -> None:
     with pytest.raises(SettingsError, match=r"nowhere\.toml"):
         load(f"{tmp_path}/nowhere.toml")
--- a/petrelthread/store/__init__.py
+++ b/petrelthread/store/__init__.py
@@ -8,6 +8,7 @@
     StateBusy,
     StateClient,
     StateDown,
+    StateRefused,
     StateUnsure,
 )
 from petrelthread.store.mirror import ROOT, Mirror
@@ -24,5 +25,6 @@
     "StateBusy",
     "StateClient",
     "StateDown",
+    "StateRefused",
     "StateUnsure",
 ]
--- a/petrelthread/store/client.py
+++ b/petrelthread/store/client.py
@@ -24,6 +24,10 @@
     """Refused for its rate alone: others were a moment earlier. Worth another try at once."""
 
 
+class StateRefused(StateDown):
+    """Never carried out as it stands: malformed, or beyond a limit. Not to be repeated unchanged"""
+
+
 class StateUnsure(Exception):
     """The request may have been carried out, or may still be."""
 
@@ -165,7 +169,7 @@
         if reply.status == 400 and b"lease" in reply.body:
             raise NoSuchLease
         if reply.status == 400:
-            raise StateDown(f"malformed: {reply.body[:200]!r}")
+            raise StateRefused(f"status 400: {reply.body[:200]!r}")
         raise StateUnsure(f"status {reply.status}")
 
     async def grant(self, life_s: float) -> int:
