Services: replicas run until they are called off, come first and return when lost

A service comes before what ends by itself, has no end to be ordered or rented by, and no victim is chosen from it; room for a lost replica is made at once. Its replicas are spread over machines, and zones where it asks for that (exception to the machine rule, which put all where the image was cached). Rental counts them as standing need on the machines that they allow. A replica that has run for 8 s proves its job, so that one faulty machine does not make it look broken. Scenarios: each way of losing a replica with a change of leader, an outage or neither.

--- a/petrelthread/controller.py
+++ b/petrelthread/controller.py
@@ -169,7 +169,7 @@
         if kind == "j" and len(self.book.jobs) > before and leading:
             job = self.book.jobs[-1]
             now = asyncio.get_running_loop().time()
-            self.keeper.note_accepted(job.jobclass, job.tasks * job.cores, now)
+            self.keeper.note_accepted(job, now)
             self.rounds.wake.set()
             self.keeper.wake.set()
         elif kind == "f" and leading:
--- a/petrelthread/fleet/table.py
+++ b/petrelthread/fleet/table.py
@@ -18,6 +18,7 @@
 BEFORE_RUNNING = ("", wire.FETCHING, wire.GATHERING)
 IGNORED_MOST = 3  # reports in a row without what they were told to start: it hears nothing
 SHOWN_ON = 8  # machines named in the record of a job that fails everywhere
+REPLICA_PROVES_S = 8.0  # a replica never completes: one that has run so long shows that it can
 JOB_BACKOFF_S = 5.0
 JOB_BACKOFF_MOST_S = 60.0
 
@@ -310,6 +311,10 @@
             if attempt.number >> 20 == self.epoch:
                 machine.ignored = 0
         before = self.book.show(attempt, leg.status)
+        if job.service and leg.status == wire.RUNNING and not attempt.proved:
+            attempt.proved = 0 < attempt.running_at < now - REPLICA_PROVES_S
+            if attempt.proved:
+                self._completed(machine, job, attempt.task)
         if leg.status in (wire.RUNNING, wire.FLUSHING) and before in BEFORE_RUNNING:
             attempt.running_at = now
             if not job.first_start_at:
@@ -391,7 +396,8 @@
         alone = len(self.failures.failed_on(job.index)) >= SUSPECT_ON and all(
             other in job.failing for other in job.pending_tasks()
         )
-        if suspect or alone:
+        proven = job.service and self.failures.trust(job.index) is Trust.PROVEN
+        if suspect or (alone and not proven):
             job.backoff_s = min(JOB_BACKOFF_MOST_S, max(JOB_BACKOFF_S, job.backoff_s * 2))
             job.not_before = now + job.backoff_s
 
--- a/petrelthread/ledger/book.py
+++ b/petrelthread/ledger/book.py
@@ -51,6 +51,7 @@
         "job",
         "machine",
         "number",
+        "proved",
         "running_at",
         "session",
         "state",
@@ -72,6 +73,7 @@
         self.at = 0.0
         self.running_at = 0.0
         self.halted_at = 0.0
+        self.proved = False  # a replica: it has run long enough to show that its job can
         self.told = False  # its start has gone out with the answer to a report
 
     @property
--- a/petrelthread/placement/order.py
+++ b/petrelthread/placement/order.py
@@ -32,6 +32,7 @@
     width: float = 0.0  # cores that it can use at once
     work_s: float = 0.0  # core seconds left in all its tasks
     begun: bool = False
+    service: bool = False  # runs until it is cancelled: it has no end to be ordered by
 
     @property
     def least_s(self) -> float:
@@ -176,6 +177,11 @@
     late anyway come last, the longest first: it ends last. But none waits past BEGIN_S to begin.
     """
     inside = within_guarantee(jobs, guarantees)
+    # What users lean on every minute comes before what ends by itself, whatever its team's share.
+    services = sorted((s for s in jobs if s.service), key=lambda s: (-s.rank, s.accepted_at, s.job))
+    first = [Turn(s.job, inside[s.job], now) for s in services]
+    jobs = [s for s in jobs if not s.service]
+    cores = max(cores - sum(s.width for s in services), 1.0)
     groups: dict[tuple[bool, int], list[Standing]] = {}
     for standing in jobs:
         groups.setdefault((not inside[standing.job], -standing.rank), []).append(standing)
@@ -183,7 +189,7 @@
     # What is late anyway comes last, unless it alone would go on when all else is done: held back
     # by its team's limit, it has to go on meanwhile, behind what has little time left to begin.
     drained_at = now + sum(s.work_s for s in jobs) / cores
-    turns: list[Turn] = []
+    turns = first
     for _, members in sorted(groups.items()):
         goals = reachable(members, queue)
         begins: list[tuple[float, float, int, Standing]] = []
--- a/petrelthread/placement/place.py
+++ b/petrelthread/placement/place.py
@@ -95,6 +95,8 @@
     live_zones: dict[int, int]  # where tasks of the job may be now, and how many
     avoid: frozenset[int] = frozenset()  # machines on which it failed
     whole: bool = False  # a gang: all pending tasks in this round or none
+    # A service: where its replicas are, by machine. They are spread, so that one loss takes few.
+    beside: dict[int, int] | None = None
 
 
 class TeamRoom:
@@ -176,6 +178,42 @@
     return Round(placed, 0)
 
 
+def _spread(
+    want: Want,
+    beside: dict[int, int],
+    slots: list[Slot],
+    team: TeamRoom,
+    most: int,
+    room: Callable[[int], int],
+) -> list[int]:
+    """Replicas one by one: where the fewest of the job are, zone first if it asks for that; then by
+    the machine rule. By that rule alone all went to the one machine that cached their image."""
+    on = dict(beside)
+    zones = dict(want.live_zones)
+    left = {slot.zone: room(slot.zone) for slot in slots}
+    got: list[int] = []
+    while len(got) < most:
+        fitting = [slot for slot in slots if left[slot.zone] > 0 and slot.fits(want)]
+        if not fitting:
+            break
+        best = min(
+            fitting,
+            key=lambda s: (
+                zones.get(s.zone, 0) if want.scatter else 0,
+                on.get(s.machine, 0),
+                s.rank(want),
+            ),
+        )
+        best.take(want)
+        left[best.zone] -= 1
+        zones[best.zone] = zones.get(best.zone, 0) + 1
+        on[best.machine] = on.get(best.machine, 0) + 1
+        team.cores -= want.cores
+        team.accelerators -= want.accelerators
+        got.append(best.machine)
+    return got
+
+
 def _place_job(want: Want, slots: list[Slot], team: TeamRoom) -> list[int]:
     most = team.most(want)
     if most <= 0 or (want.whole and most < want.pending):
@@ -185,6 +223,9 @@
     if want.same_place and only is None:
         return []
     room = zone_room(want)
+    if want.beside is not None:
+        open_slots = [s for s in slots if (only is None or s.zone == only) and s.allowed(want)]
+        return _spread(want, want.beside, open_slots, team, min(most, want.pending), room)
     left: dict[int, int] = {}
     heap = []
     for at, slot in enumerate(slots):
--- a/petrelthread/placement/stops.py
+++ b/petrelthread/placement/stops.py
@@ -10,7 +10,7 @@
 from petrelthread.fleet import Fleet, Health
 from petrelthread.ledger import Attempt, Book, Op
 from petrelthread.placement.order import BEGIN_S
-from petrelthread.placement.place import Slot, TeamRoom, Want
+from petrelthread.placement.place import Slot, TeamRoom, Want, zone_room
 from petrelthread.placement.preempt import Victim, choose_victims, served_before
 from petrelthread.placement.view import View
 from petrelthread.settings import Settings
@@ -56,8 +56,11 @@
             # A job that still gets room as it falls free does not need others to be stopped.
             waiting_s = time.time() - max(job.accepted_at, job.last_start_at)
             lacking = min(want.pending - placed.get(want.job, 0), teams[want.team].most(want))
-            patience_s = self._patience.get(job.jobclass, PATIENCE_S)
-            if lacking <= 0 or waiting_s < patience_s or want.same_place or want.scatter:
+            # Each second that a replica is missing is one that its users miss it.
+            patience_s = 0.0 if job.service else self._patience.get(job.jobclass, PATIENCE_S)
+            if lacking <= 0 or waiting_s < patience_s or want.same_place:
+                continue
+            if want.scatter and not job.service:
                 continue
             if job.rank < wire.RANKS["high"] and not guaranteed[want.job]:
                 continue
@@ -72,8 +75,12 @@
             behind = [
                 v
                 for v in victims
-                if v.machine not in kept and served_before(job.rank, inside, v, guaranteed)
+                if v.machine not in kept
+                and (job.service or served_before(job.rank, inside, v, guaranteed))
             ]
+            if want.scatter:
+                room = zone_room(want)
+                behind = [v for v in behind if room(self._fleet.machines[v.machine].zone) > 0]
             chosen = choose_victims(want, job.rank, inside, lacking, behind, slots, over)
             out = []
             for victim in chosen:
@@ -106,8 +113,8 @@
                 job = attempt.job
                 if attempt.state is not Op.CONFIRMED or attempt.ended or attempt.halted_at:
                     continue
-                if job.gang:
-                    continue  # to stop one would lose them all
+                if job.gang or job.service:
+                    continue  # to stop one would lose them all; or it would come first again
                 if len(job.live) == 1 and not job.done and wall > job.accepted_at + BEGIN_S:
                     # The one task with which a job has begun that should have long ago. Just
                     # started, it was the least loss, and was stopped again within seconds.
--- a/petrelthread/placement/view.py
+++ b/petrelthread/placement/view.py
@@ -36,6 +36,8 @@
         self._variance[job.jobclass] = variance + ((ratio - old) ** 2 - variance) / (seen + 2)
 
     def run_s(self, job: Job) -> float:
+        if job.service:
+            return math.inf
         return max(0.5, job.guess_s * self._ratio.get(job.jobclass, 1.0))
 
     def tail_s(self, job: Job) -> float:
@@ -193,6 +195,23 @@
             if self._fleet.suspect(job):
                 turns.append(Turn(job.index, False, time.time() + LATE_S))
                 continue
+            if job.service:
+                cores, accelerators = job.tasks * job.cores, job.tasks * job.accelerators
+                standings.append(
+                    Standing(
+                        job.index,
+                        job.team,
+                        job.rank,
+                        job.accepted_at,
+                        (),
+                        0.0,
+                        cores,
+                        accelerators,
+                        width=cores,
+                        service=True,
+                    )
+                )
+                continue
             left = job.tasks - job.done
             run_s = self.estimates.run_s(job)
             live = len(job.live)
@@ -225,11 +244,13 @@
 
     def want(self, job: Job) -> Want:
         live_zones: dict[int, int] = {}
-        if job.same_place or job.scatter:
+        beside: dict[int, int] = {}
+        if job.same_place or job.scatter or job.service:
             for attempt in job.live.values():
                 machine = self._fleet.machines.get(attempt.machine)
                 if machine is not None and not attempt.ended:
                     live_zones[machine.zone] = live_zones.get(machine.zone, 0) + 1
+                    beside[machine.index] = beside.get(machine.index, 0) + 1
         return Want(
             job.index,
             job.team,
@@ -247,4 +268,5 @@
             live_zones,
             self._avoid(job),
             job.gang,
+            beside if job.service else None,
         )
--- a/petrelthread/rental/keeper.py
+++ b/petrelthread/rental/keeper.py
@@ -10,7 +10,7 @@
 
 from petrelthread import wire
 from petrelthread.fleet import Fleet, Health, Machine
-from petrelthread.ledger import Book, Claims, Op, Outcome, move
+from petrelthread.ledger import Book, Claims, Job, Op, Outcome, move
 from petrelthread.placement.rounds import Rounds
 from petrelthread.placement.view import View
 from petrelthread.rental.cloud import CloudClient, CloudDown, CloudUnsure, NoCapacity
@@ -85,6 +85,7 @@
         self._list_ok_at = float("-inf")  # when the newest list that was answered was asked for
         self._catalog_at = float("-inf")
         self._accepted: list[tuple[float, float]] = []  # (when, cores) of jobs that must start soon
+        self._services: list[tuple[float, float]] = []  # likewise, of services
         self._waiting_classes = {
             book.names.classes.index(o.jobclass)
             for o in settings.cluster.objectives
@@ -242,9 +243,18 @@
 
     # ---- plan ---------------------------------------------------------------------------------
 
-    def note_accepted(self, jobclass: int, cores: float, now: float) -> None:
-        if jobclass in self._waiting_classes:
-            self._accepted.append((now, cores))
+    def note_accepted(self, job: Job, now: float) -> None:
+        if job.service:
+            self._services.append((now, job.tasks * job.cores))
+        elif job.jobclass in self._waiting_classes:
+            self._accepted.append((now, job.tasks * job.cores))
+
+    def _standing_reserve(self, now: float) -> float:
+        """Cores for services likely to come while a machine boots: what came lately goes on."""
+        window = 90.0
+        self._services = [(at, cores) for at, cores in self._services if now - at < window]
+        boot = max((h.startup_s for h in self.hulls.values()), default=30.0) + 10.0
+        return sum(cores for _, cores in self._services) / window * boot
 
     def _reserve(self, now: float) -> float:
         """Cores that jobs which must start soon are likely to ask for within a boot time."""
@@ -269,6 +279,11 @@
                     continue
                 unfinished = 1
             room = left[job.team]
+            if job.service:
+                room[0] -= job.tasks * job.cores
+                room[1] -= job.tasks * job.accelerators
+                out += self._standing(job)
+                continue
             tasks = unfinished
             if job.cores > 0:
                 tasks = min(tasks, int((room[0] + 1e-6) / job.cores))
@@ -299,6 +314,39 @@
             )
         return out
 
+    def _standing(self, job: Job) -> list[Demand]:
+        """Room for all replicas, always. Spread over zones there has to be some in each."""
+        shares = {job.zone: job.tasks}
+        if job.scatter and job.zone is None:
+            names = self._book.names.zones
+            zones = {names.index(zone) for hull in self.hulls.values() for zone in hull.roosts}
+            open_zones = sorted(zone for zone in zones if zone not in self._zones_down)
+            if open_zones:
+                count = len(open_zones)
+                # Which zone gets one more than the others differs from job to job.
+                shares = {
+                    open_zones[(at + job.index) % count]: (job.tasks + count - 1 - at) // count
+                    for at in range(count)
+                }
+        return [
+            Demand(
+                tasks,
+                0.0,
+                0.0,
+                job.cores,
+                job.accelerators,
+                job.ram_gb,
+                job.types,
+                zone,
+                job.spot,
+                True,
+                False,
+                True,
+            )
+            for zone, tasks in shares.items()
+            if tasks > 0
+        ]
+
     def _late(self, machine: Machine, now: float) -> bool:
         """Booting for so long that nobody should wait for it, though it may still come. To a new
         leader a machine that was idle looks the same until it reports, and must not be rented anew.
@@ -343,7 +391,13 @@
                     sum(
                         attempt.job.cores
                         for attempt in self._fleet.attempts(machine).values()
-                        if not attempt.ended and attempt.job.pending == 0
+                        if not attempt.ended
+                        and attempt.job.pending == 0
+                        and not attempt.job.service
+                    ),
+                    sum(
+                        attempt.job.service and not attempt.ended
+                        for attempt in self._fleet.attempts(machine).values()
                     ),
                 )
             )
@@ -373,7 +427,15 @@
                         )
         options = self._options()
         reserve = self._reserve(now) * options.reserve_share
-        return plan(self._demands(now), owned, offers, reserve, options, self._calls)
+        return plan(
+            self._demands(now),
+            owned,
+            offers,
+            reserve,
+            options,
+            self._calls,
+            self._standing_reserve(now),
+        )
 
     # ---- return -------------------------------------------------------------------------------
 
--- a/petrelthread/rental/plan.py
+++ b/petrelthread/rental/plan.py
@@ -59,6 +59,9 @@
     spot: bool
     waiting: bool = True  # some of its tasks are on no machine yet
     patient: bool = False  # neither a deadline nor an objective says when it should be done
+    standing: bool = (
+        False  # replicas of a service: no backlog that drains, but room for all, always
+    )
 
 
 class Owned(NamedTuple):
@@ -73,6 +76,7 @@
     idle_s: float | None  # None while it works or boots
     tasks: int
     held: float = 0.0  # cores that tasks take of jobs none of whose tasks wait any more
+    replicas: int = 0  # of services: they stay where they are
 
 
 class Rent(NamedTuple):
@@ -145,9 +149,15 @@
 
 def _groups(demands: list[Demand]) -> list[list[Demand]]:
     """Demands that the same machines can serve are planned together."""
-    groups: dict[tuple[frozenset[int] | None, int | None, bool, bool], list[Demand]] = {}
+    groups: dict[tuple[frozenset[int] | None, int | None, bool, bool, bool], list[Demand]] = {}
     for demand in demands:
-        key = (demand.types, demand.zone, demand.spot, demand.accelerators > 0)
+        key = (
+            demand.types,
+            demand.zone,
+            demand.spot,
+            demand.accelerators > 0,
+            demand.standing,
+        )
         groups.setdefault(key, []).append(demand)
     return list(groups.values())
 
@@ -183,21 +193,39 @@
     reserve_cores: float,
     options: Options,
     calls: int,
+    standing_reserve: float = 0.0,
 ) -> Plan:
     """``offers``: those not refused lately. ``calls``: rental calls that may be made now.
+    ``standing_reserve``: cores for replicas of services that are likely to come or to be lost.
 
     The groups with the fewest offers choose their machines first, the cheapest core first. What no
     group needs is surplus: idle, it is to be returned, busy, it gets nothing new.
     """
     rents: list[Rent] = []
     left = sorted(
-        owned, key=lambda o: (o.price / max(o.cores, 1e-9), -o.tasks, o.idle_s or 0.0, o.machine)
+        owned,
+        key=lambda o: (
+            -o.replicas,
+            o.price / max(o.cores, 1e-9),
+            -o.tasks,
+            o.idle_s or 0.0,
+            o.machine,
+        ),
     )
     # The most common shape stands for its group.
     shapes = [(max(group, key=lambda d: d.tasks * d.cores), group) for group in _groups(demands)]
-    shapes.sort(key=lambda pair: (sum(_fits(pair[0], o) > 0 for o in offers), not pair[0].spot))
+    shapes.sort(
+        key=lambda pair: (
+            not pair[0].standing,
+            sum(_fits(pair[0], o) > 0 for o in offers),
+            not pair[0].spot,
+        )
+    )
+    standing = sum(shape.standing for shape, _ in shapes)
     for at, (shape, group) in enumerate(shapes):
         spare = reserve_cores if shape.spot and at == len(shapes) - 1 else 0.0
+        if shape.standing:
+            spare = standing_reserve / standing
         could_use = sum(d.tasks * d.cores for d in group)
         weight = _dear_weight(shape, offers, owned)
         work = sum(d.work_s * d.cores for d in group)
@@ -211,6 +239,8 @@
         # were started on every machine there was, and 3,100 cores were paid for 760 in use.
         keep_room = min(could_use, sum(d.tasks * d.cores for d in group if d.waiting)) + spare
         keep_dear = max(keep, dear_target)
+        if shape.standing:
+            cheap_target = dear_target = keep_dear = could_use + spare
         have = room = 0.0
         for machine in list(left):
             cores = _fits(shape, machine) * shape.cores
--- a/petrelthread/wire/__init__.py
+++ b/petrelthread/wire/__init__.py
@@ -56,9 +56,10 @@
     same_place: bool
     scatter: bool
     driftwood: bool
-    guess_s: float
-    mark_s: float
-    stow_s: float
+    # Null only for a service, which runs until it is cancelled.
+    guess_s: float | None
+    mark_s: float | None
+    stow_s: float | None
     hulls: tuple[str, ...] | None = None
     roost: str | None = None
     due_s: float | None = None
@@ -87,6 +88,13 @@
             raise BadRequest(f"{field}: must be a finite number, 0 or more")
     if not spec.bundle:
         raise BadRequest("bundle: must not be empty")
+    if spec.shape == SERVICE:
+        return msgspec.structs.replace(
+            spec, guess_s=0.0, mark_s=spec.mark_s or 0.0, stow_s=spec.stow_s or 0.0, due_s=None
+        )
+    for field in ("guess_s", "mark_s", "stow_s"):
+        if getattr(spec, field) is None:
+            raise BadRequest(f"{field}: must be a number")
     return spec
 
 
--- /dev/null
+++ b/tests/test_services.py
@@ -0,0 +1,227 @@
+"""Standing services: replicas that run until their job is cancelled, and return when lost."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from tests.test_faults import run
+from tests.world import NODES, World, job
+
+
+def now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def service(job_id: str, replicas: int, **more: Any) -> dict[str, Any]:
+    spec = job(job_id, replicas, shape="service", rank="prod", guess_s=0.0, driftwood=False)
+    return {**spec, "cores": 1.0, "ram_gb": 1.0, "due_s": None, **more}
+
+
+def missing(world: World) -> list[str]:
+    """The plain model: each replica of an accepted service that is not cancelled runs once."""
+    return [
+        f"{job_id}/{n}"
+        for job_id, spec in world.jobs.items()
+        if spec["shape"] == "service" and job_id not in world.judge.cancelled
+        for n in range(spec["legs"])
+        if len(world.judge.on.get(f"{job_id}/{n}", ())) != 1
+    ]
+
+
+async def served(world: World, within_s: float) -> float:
+    """Until every replica runs. How long that took."""
+    begun = now()
+    while missing(world):
+        await asyncio.sleep(0.1)
+        assert now() < begun + within_s, missing(world)
+    return now() - begun
+
+
+async def end(world: World) -> None:
+    """Called off, they are gone, and not before."""
+    await world.poll()
+    for job_id, spec in world.jobs.items():
+        if spec["shape"] == "service" and job_id not in world.judge.cancelled:
+            assert world.judge.answers[job_id] not in ("done", "aborted")
+            await world.cancel(job_id)
+    await asyncio.sleep(12.0)
+    left = [leg for leg, machines in world.judge.on.items() if machines]
+    assert not [leg for leg in left if leg.rpartition("/")[0] in world.judge.cancelled]
+    await world.until_over(60.0)
+
+
+def test_replicas_run_until_they_are_called_off() -> None:
+    async def scenario(world: World) -> None:
+        await world.submit(service("wk-000001", 3))
+        await world.submit(job("wk-000002", 8, crew="blue"))
+        await served(world, 20.0)
+        await asyncio.sleep(60.0)
+        assert not missing(world)
+        status, answer = await world.ask("n1", "GET", "/v2/runs/wk-000001")
+        assert (status, answer["status"], answer["done"], answer["running"]) == (
+            200,
+            "running",
+            0,
+            3,
+        )
+        assert sum(leg.startswith("wk-000001") for leg in world.judge.started_at) == 3
+        await end(world)
+
+    world = run(scenario)
+    assert world.judge.starts == 3 + 8
+
+
+def test_a_service_beyond_its_teams_limit_can_never_run() -> None:
+    async def scenario(world: World) -> None:
+        await world.led()
+        await asyncio.sleep(1.0)
+        status, _ = await world.ask("n0", "POST", "/v2/runs", service("wk-000009", 13))
+        assert status == 422
+        await world.submit(service("wk-000001", 12))
+        no_checkpoints = service("wk-000002", 1, crew="blue", mark_s=None, stow_s=None)
+        await world.submit(no_checkpoints)
+        await served(world, 30.0)
+        await end(world)
+
+    run(scenario)
+
+
+LOSSES: dict[str, Callable[[World, Any, str], None]] = {
+    "machine ends": lambda world, worker, leg: worker.kill(),
+    "machine cut": lambda world, worker, leg: world.net.cut.update(
+        frozenset((worker.name, node)) for node in NODES
+    ),
+    "machine hangs": lambda world, worker, leg: setattr(worker, "frozen", True),
+    "replica fails": lambda world, worker, leg: worker._end(leg, worker.tasks[leg], "error"),
+    "replica ends": lambda world, worker, leg: worker._end(leg, worker.tasks[leg], "done"),
+}
+
+
+@pytest.mark.parametrize("loss", LOSSES)
+@pytest.mark.parametrize("change", ["", "leader ends", "all end", "outage"])
+def test_a_lost_replica_returns(loss: str, change: str) -> None:
+    """As a new attempt, never beside the old one, whoever leads meanwhile."""
+
+    async def scenario(world: World) -> None:
+        await world.submit(service("wk-000001", 4))
+        await world.submit(job("wk-000002", 30, crew="blue", guess_s=5.0))
+        await served(world, 20.0)
+        await asyncio.sleep(10.0)
+        leg = "wk-000001/0"
+        while not all(f"wk-000002/{n}" in world.judge.completed for n in range(30)):
+            await asyncio.sleep(0.5)
+        before = world.judge.starts
+        LOSSES[loss](world, world.where(leg), leg)
+        if change in ("leader ends", "all end"):
+            names = [await world.led()] if change == "leader ends" else list(NODES)
+            for name in names:
+                world.crash(name)
+            await asyncio.sleep(1.0)
+            for name in names:
+                world.boot(name)
+        elif change == "outage":
+            world.store.outage(True)
+            await asyncio.sleep(8.0)
+            world.store.outage(False)
+        lost_at = now()
+        while world.judge.starts == before:  # cut or hanging it is still on its machine for a while
+            await asyncio.sleep(0.1)
+            assert now() < lost_at + 40.0
+        await served(world, 30.0)
+        world.judge.calm_at = now()
+        await asyncio.sleep(20.0)
+        assert not missing(world)
+        await end(world)
+
+    run(scenario)
+
+
+def test_a_replica_of_a_busy_deployment_returns_before_other_work() -> None:
+    """Its room is made at once: work of lower rank stops for it."""
+
+    async def scenario(world: World) -> None:
+        world.run_s = 40.0
+        await world.submit(service("wk-000001", 4, cores=2.0))
+        await served(world, 20.0)
+        for n in (2, 3):
+            crew = "blue" if n == 2 else "guest"
+            await world.submit(job(f"wk-{n:06d}", 40, crew=crew, guess_s=40.0))
+        await asyncio.sleep(20.0)
+        world.where("wk-000001/0").kill()
+        assert await served(world, 25.0) < 14.0
+        for n in (2, 3):
+            await world.cancel(f"wk-{n:06d}")
+        await end(world)
+
+    run(scenario)
+
+
+def test_replicas_are_spread_over_machines_and_zones() -> None:
+    """One loss takes few: by the machine rule alone all went where their image was cached."""
+
+    async def scenario(world: World) -> None:
+        await world.submit(job("wk-000002", 4, crew="blue"))
+        await world.submit(service("wk-000001", 4, scatter=True))
+        await served(world, 30.0)
+        zones: dict[str, int] = {}
+        for n in range(4):
+            zone = world.where(f"wk-000001/{n}").machine["roost"]
+            zones[zone] = zones.get(zone, 0) + 1
+        assert max(zones.values()) <= 2
+        await end(world)
+
+    run(scenario)
+
+
+def test_a_faulty_machine_costs_its_replicas_once() -> None:
+    """A replica never completes: one that ran for a while shows that its job is not broken."""
+
+    async def scenario(world: World) -> None:
+        await world.submit(service("wk-000001", 6))
+        await served(world, 30.0)
+        await asyncio.sleep(12.0)
+        sick = world.where("wk-000001/0")
+        sick.faulty = True
+        for leg, entry in list(sick.tasks.items()):
+            if leg.startswith("wk-000001"):
+                sick._end(leg, entry, "error")
+        await asyncio.sleep(0.3)
+        assert await served(world, 30.0) < 15.0
+        await end(world)
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_services_under_several_troubles(seed: int) -> None:
+    """Drawn from all the kinds that test_ops knows, with arrays beside."""
+    from tests.test_ops import trouble
+
+    async def scenario(world: World) -> None:
+        chance = random.Random(seed)
+        for n in range(3):
+            crew = ("red", "blue", "guest")[n]
+            await world.submit(service(f"wk-{n:06d}", 3, crew=crew, scatter=n == 1))
+            await world.submit(job(f"wk-{n + 10:06d}", 12, crew=crew))
+        await served(world, 40.0)
+        ends = []
+        for _ in range(7):
+            ends.append(asyncio.ensure_future(trouble(world, chance)))
+            await asyncio.sleep(chance.uniform(0.0, 8.0))
+            await world.poll()
+        await world.cancel("wk-000002")
+        await asyncio.gather(*ends)
+        for worker in [m["worker"] for m in world.cloud.machines.values()]:
+            worker.faulty = False
+        world.judge.calm_at = now()
+        await served(world, 90.0)
+        await asyncio.sleep(15.0)
+        await served(world, 30.0)
+        await end(world)
+
+    run(scenario, seed)
--- a/tests/world.py
+++ b/tests/world.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextvars
+import math
 import random
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
@@ -678,6 +679,8 @@
 
     def ran_s(self, leg: str) -> float:
         job_id, _, task = leg.rpartition("/")
+        if self.jobs[job_id]["shape"] == "service":
+            return math.inf
         longer_s = int(task) * 0.37 % 1.0 * self.spread_s
         return self.run_s_of.get(job_id, self.run_s) + longer_s
 
