A session that nobody renewed lasts a lease from its own beginning

Cause: machines that reach no controller, while commands reach them, go from session to session. Now the lease counts from when the session first showed, at least. Answers to commands are no sign of life any more: such a machine falls silent and goes back. Ruled out: late commands (their token or session would not match), the older leader's hold-over.

--- a/petrelthread/fleet/machine.py
+++ b/petrelthread/fleet/machine.py
@@ -54,6 +54,7 @@
         "seen_token",
         "sending",
         "session",
+        "session_at",
         "spot",
         "strike_at",
         "strikes",
@@ -73,6 +74,7 @@
         self.zone = -1
         self.spot = False
         self.session = 0
+        self.session_at = now  # when it first showed: the session had begun by then
         self.tick = -1
         self.seen_token = 0
         # The epoch in which the worker last showed that it knows that epoch: it has heard us, and
--- a/petrelthread/fleet/table.py
+++ b/petrelthread/fleet/table.py
@@ -110,7 +110,9 @@
             # A report, perhaps a late copy, does not show that the worker has heard us: an older
             # leader that lost only the state service may still be renewing its lease.
             last = max(self.elected_at + self.hold_over_s, machine.answered_at)
-        return last + self.lease_s * DRIFT + 0.5
+        # A session that nobody has renewed lasts a lease from its beginning, however long ago the
+        # one before was answered: a machine that reaches no controller goes from one to the next.
+        return max(last, machine.session_at) + self.lease_s * DRIFT + 0.5
 
     def lost(self, machine: Machine, why: str) -> int:
         """The machine's tasks are surely gone."""
@@ -175,11 +177,15 @@
             return None  # the cloud said so; this is a late message
         if answered:
             self._answering(machine, now)
-        if report.flight > machine.session and machine.session:
-            self._new_session(machine, report.flight, now)
-        if not machine.session or report.baton >= self.epoch:
+        if report.flight > machine.session:
+            if machine.session:
+                self._new_session(machine, report.flight, now)
+            machine.session_at = now
+        if not machine.session or (report.baton >= self.epoch and answered):
             # Only who knows our epoch is surely alive: copies of reports from before the election
-            # do not. A worker not yet known gets as long as silence may last to show it.
+            # do not. A worker not yet known gets as long as silence may last to show it. Answers
+            # to commands are no sign of life: from a machine that reaches no controller they come
+            # as well, and its lease runs out.
             machine.heard_at = now
         if report.baton >= self.epoch:
             if not answered and machine.epoch_heard != self.epoch:
@@ -198,7 +204,7 @@
         if report.roost:
             machine.zone = names.zones.index(report.roost)
         machine.spot = report.driftwood
-        self._health(machine, report, now)
+        self._health(machine, report, now, answered)
         for key, token in list(machine.unsure.items()):
             if machine.seen_token > token:
                 del machine.unsure[key]
@@ -239,8 +245,8 @@
         if bool(machine.deaf) != bool(before):
             log.info("machine %s %s", machine.name, machine.deaf or "hears us again")
 
-    def _health(self, machine: Machine, report: wire.Report, now: float) -> None:
-        heard = machine.epoch_heard == self.epoch
+    def _health(self, machine: Machine, report: wire.Report, now: float, answered: bool) -> None:
+        heard = machine.epoch_heard == self.epoch and answered
         if machine.health is Health.BOOTING or (machine.health is Health.SILENT and heard):
             if machine.health is Health.BOOTING:
                 machine.idle_since = now
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -451,3 +451,47 @@
         await world.until_over(60.0)
 
     run(scenario)
+
+
+@pytest.mark.parametrize("change", ["crash", "alone"])
+@pytest.mark.parametrize("after_s", [0.5, 2.0, 4.0])
+def test_machines_that_reach_no_controller_while_commands_reach_them(
+    change: str, after_s: float
+) -> None:
+    """Answers to commands showed a new session that nobody had renewed. Its tasks counted as gone
+    by the lease of the session before, and were started elsewhere while they ran."""
+
+    async def scenario(world: World) -> None:
+        world.run_s = 60.0
+        for n in range(2):
+            await world.submit(job(f"wk-{n:06d}", 3, crew="guest", cores=1.0, guess_s=60.0))
+        await world.running(6)
+        await asyncio.sleep(6.0)
+        names = set(world.cloud.machines)
+        workers = [m["worker"] for m in world.cloud.machines.values()]
+        world.net.mute |= names
+        await asyncio.sleep(2.0)
+        leader = await world.led()
+        cuts = {frozenset((leader, other)) for other in ("state", "cloud", *others(leader))}
+        if change == "crash":
+            world.crash(leader)
+        else:
+            world.net.cut |= cuts
+        while not any(worker.session > 1 for worker in workers):
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(after_s)
+        for n in range(2, 5):
+            spec = job(f"wk-{n:06d}", 2, crew="guest", cores=1.0, guess_s=60.0)
+            await world.submit(spec, nodes=others(leader))
+            await asyncio.sleep(1.0)
+        for _ in range(40):
+            await asyncio.sleep(0.5)
+            assert not world.judge.broken, world.judge.broken
+        if change == "crash":
+            world.boot(leader)
+        world.net.cut.clear()
+        world.net.mute.clear()
+        world.judge.calm_at = now()
+        await world.until_over(200.0)
+
+    run(scenario)
