--- a/tests/world.py
+++ b/tests/world.py
@@ -548,7 +548,7 @@
         self.starts = 0
         self.cancelled: dict[str, float] = {}
         self.asked_to_cancel: set[str] = set()
-        # Jobs with tasks that wait, once all is calm: since when, starts so far, where there is room
+        # Jobs with tasks that wait, once all is calm: since when, starts so far, where is room
         self.waiting_since: dict[str, tuple[float, int, set[str]]] = {}
         self.answers: dict[str, str] = {}
         self.answered_at: dict[str, float] = {}
