--- a/petrelthread/rental/keeper.py
+++ b/petrelthread/rental/keeper.py
@@ -34,6 +34,9 @@
 CATALOG_EVERY_S = 60.0
 REPEAT_S = 1.5
 REPLANS = 10
+LIKELY_NEXT = 2.0  # services as large as the largest of late that may come while a machine boots
+EXPECTED_BOOTS = 2.0  # a class that has to start within so many boot times is prepared for
+EXPECTED_MACHINES = 2  # in each zone, of the smallest type
 LATE_BOOT = 1.6  # times the usual boot time: later than that, a machine is no capacity
 PROBED_ON = 6  # machines: a job that failed on more of them and completed nothing gets no other
 LOST_BOOT = 2.5  # and later than this it is given back
@@ -86,11 +89,13 @@
         self._catalog_at = float("-inf")
         self._accepted: list[tuple[float, float]] = []  # (when, cores) of jobs that must start soon
         self._services: list[tuple[float, float]] = []  # likewise, of services
-        self._waiting_classes = {
-            book.names.classes.index(o.jobclass)
-            for o in settings.cluster.objectives
-            if o.kind == "wait"
-        }
+        # How soon they should start, by class.
+        self._waiting_classes: dict[int, float] = {}
+        for objective in settings.cluster.objectives:
+            if objective.kind == "wait":
+                index = book.names.classes.index(objective.jobclass)
+                soonest = self._waiting_classes.get(index, objective.within_s)
+                self._waiting_classes[index] = min(soonest, objective.within_s)
         # That a worker may take to find a new leader and report to it.
         self._hear_s = 2 * settings.cluster.workers.report_s + 5.0
         # In one plan: as many as the cloud takes in a burst.
@@ -254,7 +259,38 @@
         window = 90.0
         self._services = [(at, cores) for at, cores in self._services if now - at < window]
         boot = max((h.startup_s for h in self.hulls.values()), default=30.0) + 10.0
-        return sum(cores for _, cores in self._services) / window * boot
+        coming = sum(cores for _, cores in self._services) / window * boot
+        largest = max((cores for _, cores in self._services), default=0.0)
+        return max(coming, LIKELY_NEXT * largest)
+
+    def _expected(self) -> list[Demand]:
+        """A little room on ordinary machines in each zone for classes that have to start sooner
+        than a machine boots, and of which nobody has seen a job: they may not use cheap ones."""
+        seen = {job.jobclass for job in self._book.jobs}
+        boot_s = min((h.startup_s for h in self.hulls.values()), default=0.0)
+        if not seen or not any(
+            within_s < boot_s * EXPECTED_BOOTS and index not in seen
+            for index, within_s in self._waiting_classes.items()
+        ):
+            return []
+        smallest = min(self.hulls.values(), key=lambda hull: (hull.cores, hull.hourly))
+        names = self._book.names.zones
+        return [
+            Demand(
+                EXPECTED_MACHINES,
+                0.0,
+                0.0,
+                smallest.cores,
+                0.0,
+                smallest.ram_gb,
+                None,
+                names.index(zone),
+                False,
+                standing=True,
+            )
+            for zone in smallest.roosts
+            if names.index(zone) not in self._zones_down
+        ]
 
     def _reserve(self, now: float) -> float:
         """Cores that jobs which must start soon are likely to ask for within a boot time."""
@@ -265,7 +301,7 @@
 
     def _demands(self, now: float) -> list[Demand]:
         left = [[team.most_cores, team.most_accelerators] for team in self._view.teams]
-        out = []
+        out = self._expected()
         wall = time.time()
         for index, _, due_at, _ in self._view.turns():
             job = self._book.jobs[index]
