Replicas return sooner: room that is expected, overdue reports asked for, silent machines first

Now a class that has to start sooner than a machine boots, and of which nobody has seen a job, has two small ordinary machines in each zone; twice the largest service of late stays in reserve; a machine with replicas whose report is overdue is asked directly, and what does not answer twice goes back before the plan is made.

--- a/petrelthread/admin/views.py
+++ b/petrelthread/admin/views.py
@@ -5,9 +5,11 @@
 import time
 from typing import TYPE_CHECKING, Any
 
+from petrelthread import wire
 from petrelthread.admin.troubles import STATE_S, now_wrong
 from petrelthread.fleet import Health
 from petrelthread.ledger import Job, Op
+from petrelthread.placement.place import zone_room
 
 if TYPE_CHECKING:
     from petrelthread.controller import Controller
@@ -33,6 +35,9 @@
         entry["jobs"] += 1
         entry["waiting"] += job.pending
         entry["running"] += len(job.live)
+        if job.service:
+            entry["replicas"] = entry.get("replicas", 0) + job.tasks
+            entry["serving"] = entry.get("serving", 0) + _serving(job)
     return {
         "node": node.settings.host_name,
         "role": election.role.value,
@@ -60,6 +65,10 @@
     }
 
 
+def _serving(job: Job) -> int:
+    return sum(a.status == wire.RUNNING and a.state is Op.CONFIRMED for a in job.live.values())
+
+
 def _machines(node: Controller) -> dict[str, int]:
     out: dict[str, int] = {}
     for machine in node.fleet.machines.values():
@@ -138,10 +147,18 @@
     unknown = [a for a in live if a.state is Op.UNKNOWN]
     running = [a for a in live if a.running_at and not a.ended]
     done = f"{job.done} of {job.tasks} tasks done, {len(running)} running"
+    if job.service:
+        done = f"{_serving(job)} of {job.tasks} replicas running"
     if job.pending == 0:
         if unknown:
             machine = node.fleet.machines.get(unknown[0].machine)
             name = machine.name if machine else "a machine"
+            if machine is not None and job.service:
+                left_s = max(0.0, node.fleet.gone_at(machine) - now)
+                return (
+                    f"{done}; {len(unknown)} may be on {name}, which has not reported since: they"
+                    f" start elsewhere once its return is confirmed, in at most {left_s:.0f} s."
+                )
             return f"{done}; {len(unknown)} may be on {name}, which has not reported since."
         if len(running) < len(live):
             image = book.names.images.name(job.image)
@@ -166,7 +183,13 @@
     free, surplus = node.view.slots()
     want = node.view.want(job)
     allowed = [s for s in [*free.values(), *surplus] if s.allowed(want)]
-    if any(s.fits(want) for s in allowed):
+    fitting = [s for s in allowed if s.fits(want)]
+    zone_left = zone_room(want)
+    if fitting and not any(zone_left(s.zone) > 0 for s in fitting):
+        return (
+            f"{head}: there is room only in zones that its tasks may not be in beside the others."
+        )
+    if fitting:
         return f"{head}: there is room; it is placed in the next round."
     booting = sum(m.health is Health.BOOTING for m in node.fleet.machines.values())
     refused = [
@@ -197,6 +220,7 @@
         "job": job.id,
         "status": job.status,
         "team": node.book.names.teams.name(job.team),
+        "shape": wire.SERVICE if job.service else wire.GANG if job.gang else wire.ARRAY,
         "tasks": job.tasks,
         "done": job.done,
         "waiting": job.pending if job.final is None else 0,
--- a/petrelthread/cli/operate.py
+++ b/petrelthread/cli/operate.py
@@ -102,9 +102,12 @@
     lines.append(_zones(got))
     lines.append("machines: " + ", ".join(f"{n} {h}" for h, n in got["machines"].items()))
     for name, b in sorted(got["backlog"].items()):
-        lines.append(
+        line = (
             f"class {name}: {b['jobs']} jobs, {b['running']} tasks placed, {b['waiting']} waiting"
         )
+        if "replicas" in b:
+            line += f"; {b['serving']} of {b['replicas']} replicas running"
+        lines.append(line)
     for t in got["teams"]:
         if t["cores"]:
             limit = "no limit" if t["limit"] is None else f"limit {t['limit']:g}"
--- a/petrelthread/controller.py
+++ b/petrelthread/controller.py
@@ -121,6 +121,7 @@
             self.zone_watch.down,
         )
         self.fleet.on_change = self.rounds.wake.set
+        self.fleet.on_lost = self.keeper.wake.set
         self.fleet.on_class_time = estimates.learn
         self.fleet.cache_gb = self._cache_gb
         self.intake = Intake(settings, self.book, self.mirror, state, self.keeper.catalog)
@@ -357,6 +358,7 @@
                 if now - silence_at >= SILENCE_EVERY_S:
                     silence_at = now
                     self.fleet.tick_silence(now, self._silent_s)
+                    self.dispatch.probe(now)
                 if await self.rounds.round(now):
                     wake.set()
             except Exception:
--- a/petrelthread/fleet/dispatch.py
+++ b/petrelthread/fleet/dispatch.py
@@ -17,6 +17,7 @@
 log = logging.getLogger(__name__)
 
 ANSWER_S = 2.0
+PROBE_S = 1.0
 
 
 class Dispatch:
@@ -72,6 +73,24 @@
         if reply.status == 200 and fleet.epoch == token:
             fleet.on_report(report, asyncio.get_running_loop().time(), answered=False)
 
+    def probe(self, now: float) -> None:
+        """Ask machines with replicas that should have reported whether they are there."""
+        for machine in self._fleet.overdue(now):
+            machine.probing = True
+            asyncio.create_task(self._probe(machine, self._fleet.epoch))
+
+    async def _probe(self, machine: Machine, token: int) -> None:
+        asked = asyncio.get_running_loop().time()
+        try:
+            await self._request(machine.addr, "GET", wire.SHOW_PATH, timeout=PROBE_S)
+            answered = True
+        except NoAnswer:
+            answered = False
+        finally:
+            machine.probing = False
+        if self._fleet.epoch == token and machine.heard_at < asked:
+            self._fleet.probed(machine, answered)
+
     async def _send(
         self, machine: Machine, starting: list[Attempt], stopping: list[Attempt], token: int
     ) -> None:
--- a/petrelthread/fleet/machine.py
+++ b/petrelthread/fleet/machine.py
@@ -49,6 +49,8 @@
         "newest_at",
         "notice_at",
         "notice_s",
+        "probes_lost",
+        "probing",
         "rented_at",
         "retiring",
         "seen_token",
@@ -99,6 +101,8 @@
         self.listed = False
         self.missing = 0  # lists in a row without it, since it was listed
         self.charter = ""
+        self.probes_lost = 0  # in a row, of those sent because a report is overdue
+        self.probing = False
         self.sending = 0  # direct commands now under way
         self.unanswered_at = 0.0  # when a direct command was last given up
         # Attempts that an unanswered direct command may still start, with its token.
--- a/petrelthread/fleet/table.py
+++ b/petrelthread/fleet/table.py
@@ -15,6 +15,8 @@
 
 DRIFT = 1.002
 GREET_AGAIN_S = 4.0
+OVERDUE_S = 0.75  # that a report may take on its way
+PROBES_MOST = 2  # unanswered in a row: then its replicas are needed elsewhere
 BEFORE_RUNNING = ("", wire.FETCHING, wire.GATHERING)
 IGNORED_MOST = 3  # reports in a row without what they were told to start: it hears nothing
 SHOWN_ON = 8  # machines named in the record of a job that fails everywhere
@@ -38,6 +40,7 @@
         self.elected_at = 0.0
         self.awake_at = float("-inf")  # since when this process has not stood still
         self.on_change: Callable[[], None] = lambda: None
+        self.on_lost: Callable[[], None] = lambda: None  # a machine with replicas has to go back
         self.on_class_time: Callable[[Job, float], None] = lambda job, ran_s: None
         self.cache_gb: Callable[[int], float] = lambda kind: 1e9
 
@@ -158,6 +161,32 @@
         ]
         return sorted(out, key=lambda machine: machine.index not in self.book.on_machine)
 
+    def serves(self, machine: Machine) -> bool:
+        """Replicas of services are on it: each second that their loss goes unnoticed is lost."""
+        return any(a.job.service and not a.ended for a in self.attempts(machine).values())
+
+    def overdue(self, now: float) -> list[Machine]:
+        """Machines with replicas whose report should have come: to be asked directly."""
+        latest_s = 1.25 * self.report_s + OVERDUE_S
+        return [
+            machine
+            for machine in self.machines.values()
+            if machine.health is Health.UP
+            and machine.addr
+            and not machine.probing
+            and machine.epoch_answered == self.epoch
+            and now - max(machine.heard_at, self.awake_at) > latest_s
+            and self.serves(machine)
+        ]
+
+    def probed(self, machine: Machine, answered: bool) -> None:
+        """Not silent for long yet, but neither does it answer."""
+        machine.probes_lost = 0 if answered else machine.probes_lost + 1
+        if machine.probes_lost >= PROBES_MOST and machine.health is Health.UP:
+            log.info("machine %s is silent and does not answer", machine.name)
+            machine.move(Health.SILENT)
+            self.on_lost()
+
     # ---- reports ---------------------------------------------------------------------------
 
     def on_report(self, report: wire.Report, now: float, answered: bool) -> Machine | None:
@@ -187,6 +216,7 @@
             # to commands are no sign of life: from a machine that reaches no controller they come
             # as well, and its lease runs out.
             machine.heard_at = now
+            machine.probes_lost = 0
         if report.baton >= self.epoch:
             if not answered and machine.epoch_heard != self.epoch:
                 # It has just taken our token from a command: until then an older leader may have
--- a/petrelthread/rental/keeper.py
+++ b/petrelthread/rental/keeper.py
@@ -35,8 +35,7 @@
 REPEAT_S = 1.5
 REPLANS = 10
 LIKELY_NEXT = 2.0  # services as large as the largest of late that may come while a machine boots
-EXPECTED_BOOTS = 2.0  # a class that has to start within so many boot times is prepared for
-EXPECTED_MACHINES = 2  # in each zone, of the smallest type
+EXPECTED_MACHINES = 2  # in each zone, of the smallest type, for what must start before one boots
 LATE_BOOT = 1.6  # times the usual boot time: later than that, a machine is no capacity
 PROBED_ON = 6  # machines: a job that failed on more of them and completed nothing gets no other
 LOST_BOOT = 2.5  # and later than this it is given back
@@ -128,6 +127,12 @@
         self.ops.clear()
         self._serial = 0
         self._listed_at = float("-inf")
+        wall = time.time()
+        self._services = [
+            (now - (wall - job.accepted_at), job.tasks * job.cores)
+            for job in self._book.jobs
+            if job.service
+        ]
         for charter, value in self._book.rentals.items():
             op = CloudOp(f"c/{charter}", value, Op.UNKNOWN)
             op.unknown_at = now
@@ -166,6 +171,8 @@
         await self._settle(now)
         if not self.hulls or not self._leading():
             return
+        # Replicas return elsewhere as soon as their machine's return is confirmed: that first.
+        await self._return([m for m in self._silent() if self._fleet.serves(m)], now)
         plan = self._plan(now)
         for machine in self._fleet.machines.values():
             machine.retiring = machine.index in plan.retiring
@@ -268,8 +275,8 @@
         than a machine boots, and of which nobody has seen a job: they may not use cheap ones."""
         seen = {job.jobclass for job in self._book.jobs}
         boot_s = min((h.startup_s for h in self.hulls.values()), default=0.0)
-        if not seen or not any(
-            within_s < boot_s * EXPECTED_BOOTS and index not in seen
+        if not self._book.open or not any(
+            within_s < boot_s and index not in seen
             for index, within_s in self._waiting_classes.items()
         ):
             return []
@@ -475,12 +482,18 @@
 
     # ---- return -------------------------------------------------------------------------------
 
+    def _silent(self) -> list[Machine]:
+        """Those that are lost by themselves. If most fall silent at once, the trouble is rather
+        ours or a network's: then none, until their leases have run out."""
+        machines = self._fleet.machines.values()
+        up = sum(m.health in (Health.UP, Health.DRAINING) for m in machines)
+        silent = [m for m in machines if m.health is Health.SILENT]
+        return [] if len(silent) >= 4 and len(silent) > up else silent
+
     def _to_return(self, plan: Plan, now: float) -> list[Machine]:
         machines = self._fleet.machines
         out = [machines[index] for index in plan.returns]
-        up = sum(m.health in (Health.UP, Health.DRAINING) for m in machines.values())
-        silent = [m for m in machines.values() if m.health is Health.SILENT]
-        many = len(silent) >= 4 and len(silent) > up
+        silent = self._silent()
         lag = self._settings.cluster.cloud.list_lag_s
         for machine in machines.values():
             if machine.health in (Health.GONE, Health.RETURNING):
@@ -491,9 +504,7 @@
             if machine.fault:
                 why = machine.fault
             elif machine.health is Health.SILENT:
-                # If most fall silent at once, the trouble is rather ours or a network's: wait
-                # until their leases have run out before paying for new ones.
-                if not many or now > self._fleet.gone_at(machine):
+                if machine in silent or now > self._fleet.gone_at(machine):
                     why = "silent"
             elif machine.health is Health.DRAINING and machine.notice_s is not None:
                 if machine.index not in self._book.on_machine:
--- a/petrelthread/rental/plan.py
+++ b/petrelthread/rental/plan.py
@@ -287,7 +287,9 @@
                 most -= RENT_MOST
     if not shapes:
         left = _beyond(left, reserve_cores)
-    retiring = {machine.machine for machine in left}
+    # What holds replicas is not emptied, so it may as well be used: a replica that had failed on
+    # the one machine that was kept for it waited for ever beside the other.
+    retiring = {machine.machine for machine in left if not machine.replicas}
     returns = []
     for machine in left:
         patience = options.idle_s if machine.spot else options.dear_idle_s
--- a/petrelthread/rental/test_plan.py
+++ b/petrelthread/rental/test_plan.py
@@ -226,3 +226,33 @@
         (1, 49),
         (2, 49),
     ]
+
+
+def test_replicas_are_a_standing_need_and_no_backlog_that_drains() -> None:
+    replicas = Demand(8, 0.0, 0.0, 1.0, 0.0, 1.6, None, None, False, standing=True)
+    got = plan([replicas], [], [DEAR, SPOT], 0.0, Options(), 9, standing_reserve=4.0)
+    assert [(r.spot, r.machines) for r in got.rents] == [(False, 3)]  # 8 cores and 4 in reserve
+    # Machines with replicas stay, those beside them go to the arrays or back.
+    busy = [m._replace(replicas=4) for m in owned(2, spot=False)]
+    idle = [m._replace(machine=m.machine + 50) for m in owned(3, spot=False, idle=99.0, tasks=0)]
+    later = plan([replicas], [*idle, *busy], [DEAR], 0.0, Options(), 9, standing_reserve=4.0)
+    assert not later.rents
+    assert not later.retiring & {m.machine for m in busy}
+    assert len(later.returns) == 2
+
+
+def test_room_is_kept_for_a_class_that_must_start_sooner_than_a_machine_boots() -> None:
+    async def main() -> None:
+        slow = ({**SMALL.hulls[0], "startup_s": 7.0},)
+        world = World(made_of=replace(SMALL, hulls=slow))
+        world.run_s = 30.0
+        await world.submit(job("wk-000001", 2))
+        await asyncio.sleep(12.0)
+        kinds = [(m["driftwood"], m["roost"]) for m in world.cloud.machines.values()]
+        assert {(False, "a"), (False, "b")} <= set(kinds)
+        await world.submit(job("wk-000002", 1, jobclass="rush"))
+        await asyncio.sleep(75.0)
+        # It came and may use cheap ones: nothing is kept for it any more.
+        assert all(m["driftwood"] for m in world.cloud.machines.values())
+
+    play(main())
--- /dev/null
+++ b/tests/test_formats.py
@@ -0,0 +1,115 @@
+"""What two versions share while one replaces the other: keys, values, greetings, attempt numbers.
+
+Golden values as the version in production writes them, read and continued by this code; and this
+code's own values read by a small plain reader of that format.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from typing import Any
+
+import msgspec
+import orjson
+
+from petrelthread.ledger import Book, NamesBook, pack_done, pack_round
+from petrelthread.peers import Hello
+from tests.virtual import play
+from tests.world import World, job
+
+ARRAY = ["red", "batch", 1, 4, 2.0, 0.0, 2.0, "img-1", 1.0, None, None, 4, 5.0, 0.0, 0.0, None]
+GOLDEN: dict[str, Any] = {
+    "j/wk-000001": [*ARRAY, 1_700_000_001.5],
+    "j/wk-000002": [*ARRAY[:9], ["small"], "b", 7, 5.0, 2.0, 1.0, 90.0, 1_700_000_002.25],
+    "j/wk-000003": [*ARRAY, 1_700_000_003.0],
+    "f/wk-000003": "aborted",
+    "r/4194305": [["host-000001", 1, [["wk-000001", [0, 1]], ["wk-000003", [2]]]]],
+    "r/4194306": [["", 0, [["wk-000001", [1]]]]],
+    "d/4194307": [["wk-000002", [0, 1, 3, 3]]],
+    "s/wk-000002": ["host-000001", "host-000002"],
+    "c/4-1": {"t": "small", "z": "a", "s": True, "n": 2, "at": 1_700_000_000.1},
+    "c/4-2": {"t": "small", "z": "a", "s": True, "n": 1, "at": 1.0, "m": ["host-000001"]},
+    "x/4-3": ["host-000009"],
+}
+
+
+def test_what_production_wrote_is_read() -> None:
+    """A reader sees the keys in the order in which they were written (Mirror.load sorts them)."""
+    book = Book(NamesBook(["red"], ["a", "b"]))
+    for stamp, (key, value) in enumerate(GOLDEN.items(), 1):
+        book.on_key(key, value, stamp)
+    first, second, third = (book.by_id[f"wk-00000{n}"] for n in (1, 2, 3))
+    assert (first.tasks, first.spot, first.scatter, first.service) == (4, True, False, False)
+    assert (second.same_place, second.scatter, second.spot) == (True, True, True)
+    assert (second.done, second.pending, second.due_s) == (3, 1, 90.0)
+    assert third.final == "aborted" and set(third.live) == {2}  # counts until it is surely gone
+    assert {task: a.number for task, a in first.live.items()} == {0: 4194305, 1: 4194305}
+    assert [bool(first.live[n].halted_at) for n in (0, 1)] == [False, True]
+    assert book.recorded_machines() == {"host-000001", "host-000009"}
+    assert 4194305 >> 20 == 4  # the epoch that claimed it
+
+
+SHAPES = {
+    r"pt/j/wk-\d+": [str, str, int, int, float, float, float, str, float],
+    r"pt/f/wk-\d+": str,
+    r"pt/r/\d+": list,
+    r"pt/d/\d+": list,
+    r"pt/s/wk-\d+": list,
+    r"pt/c/\d+-\d+": {"t", "z", "s", "n", "at", "m"},
+    r"pt/x/\d+-\d+": list,
+    r"pt/lead": {"node", "nonce", "epoch", "lease"},
+    r"pt/epoch": int,
+    r"pt/catalog": {"hulls"},
+}
+
+
+def plain_read(key: str, value: Any) -> None:
+    """As the version in production reads it: it fails on what it does not know."""
+    [shape] = [shape for pattern, shape in SHAPES.items() if re.fullmatch(pattern, key)]
+    if isinstance(shape, set):
+        assert set(value) <= shape, (key, value)
+    elif isinstance(shape, list):
+        assert len(value) == 17, (key, value)
+        assert all(isinstance(v, kind) for v, kind in zip(value, shape, strict=False)), value
+    else:
+        assert isinstance(value, shape), (key, value)
+    if key.startswith("pt/r/"):
+        for machine, session, jobs in value:
+            assert isinstance(machine, str) and isinstance(session, int)
+            assert all(isinstance(n, int) for _, tasks in jobs for n in tasks)
+    elif key.startswith("pt/d/"):
+        assert all(len(ranges) % 2 == 0 for _, ranges in value)
+
+
+def test_what_this_version_writes_is_read_by_the_one_in_production() -> None:
+    async def main() -> None:
+        world = World()
+        world.mistaken.add("wk-000002")
+        world.spread_s = 6.0
+        for n in range(4):
+            await world.submit(job(f"wk-{n:06d}", 12, crew=("red", "blue")[n % 2]))
+        await asyncio.sleep(25.0)
+        world.crash(await world.led())
+        await asyncio.sleep(60.0)
+        for key, value in world.store.puts:
+            plain_read(key, value)
+        kinds = {key.split("/")[1] for key, _ in world.store.puts}
+        assert kinds >= {"j", "f", "r", "d", "c", "x", "lead", "epoch", "catalog"}
+
+    play(main())
+
+
+def test_records_are_packed_as_before() -> None:
+    entries = [("host-2", 1, "wk-1", 3), ("host-1", 2, "wk-1", 0), ("host-1", 2, "wk-1", 1)]
+    [record] = pack_round(entries, 2000)
+    assert record == [["host-1", 2, [["wk-1", [0, 1]]]], ["host-2", 1, [["wk-1", [3]]]]]
+    assert pack_done({"wk-1": [0, 1, 2, 7]}, 2000) == ([["wk-1", [0, 2, 7, 7]]], {})
+
+
+def test_greetings_of_both_versions_are_understood() -> None:
+    old = b'{"node":"n1","epoch":7,"leading":true,"state_ok":true,"workers":3,"zone":"a"}'
+    hello = msgspec.convert(orjson.loads(old), Hello)
+    assert (hello.node, hello.epoch, hello.leading, hello.asks) == ("n1", 7, True, 0.0)
+    known = {"node", "epoch", "leading", "state_ok", "workers", "zone", "asks", "lends"}
+    assert set(msgspec.to_builtins(Hello("n1"))) >= known
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -9,6 +9,8 @@
 
 import pytest
 
+from petrelthread.admin.views import why
+from petrelthread.fleet import Health
 from tests.test_faults import run
 from tests.world import NODES, World, job
 
@@ -225,3 +227,28 @@
         await end(world)
 
     run(scenario, seed)
+
+
+def test_operators_see_why_a_replica_does_not_run() -> None:
+    async def scenario(world: World) -> None:
+        await world.submit(service("wk-000001", 4))
+        await served(world, 20.0)
+        await asyncio.sleep(5.0)
+        leader = await world.led()
+        node = world.nodes[leader]
+        assert why(node, node.book.by_id["wk-000001"], now()).startswith("4 of 4 replicas running")
+        _, seen = await world.ask_admin(leader, "status")
+        assert seen["backlog"]["batch"]["replicas"] == 4 == seen["backlog"]["batch"]["serving"]
+        lost = world.where("wk-000001/0")
+        world.net.cut |= {frozenset((lost.name, n)) for n in NODES}
+        world.net.cut.add(frozenset((leader, "cloud")))  # so that its return can't be confirmed
+        while node.fleet.known(lost.name).health not in (Health.SILENT, Health.RETURNING):
+            await asyncio.sleep(0.1)
+        said = why(node, node.book.by_id["wk-000001"], now())
+        assert f"may be on {lost.name}" in said and "confirmed" in said, said
+        world.net.cut.clear()
+        await asyncio.sleep(15.0)
+        await served(world, 20.0)
+        await end(world)
+
+    run(scenario)
