--- a/petrelthread/admin/views.py
+++ b/petrelthread/admin/views.py
@@ -8,7 +8,7 @@
 from petrelthread import wire
 from petrelthread.admin.troubles import STATE_S, now_wrong
 from petrelthread.fleet import Health
-from petrelthread.ledger import Job, Op
+from petrelthread.ledger import Attempt, Job, Op
 from petrelthread.placement.place import zone_room
 
 if TYPE_CHECKING:
@@ -37,7 +37,7 @@
         entry["running"] += len(job.live)
         if job.service:
             entry["replicas"] = entry.get("replicas", 0) + job.tasks
-            entry["serving"] = entry.get("serving", 0) + _serving(job)
+            entry["serving"] = entry.get("serving", 0) + _serving(node, job)
     return {
         "node": node.settings.host_name,
         "role": election.role.value,
@@ -65,8 +65,17 @@
     }
 
 
-def _serving(job: Job) -> int:
-    return sum(a.status == wire.RUNNING and a.state is Op.CONFIRMED for a in job.live.values())
+def _lost(node: Controller, attempt: Attempt) -> bool:
+    """Its machine is silent or on its way back: it may still run there."""
+    machine = node.fleet.machines.get(attempt.machine)
+    return machine is not None and machine.health in (Health.SILENT, Health.RETURNING)
+
+
+def _serving(node: Controller, job: Job) -> int:
+    return sum(
+        a.status == wire.RUNNING and a.state is Op.CONFIRMED and not _lost(node, a)
+        for a in job.live.values()
+    )
 
 
 def _machines(node: Controller) -> dict[str, int]:
@@ -144,11 +153,11 @@
         since_s = node.troubles.since("leader", now)
         return f"There is no leader since {since_s:.0f} s, and nothing is started without one."
     live = list(job.live.values())
-    unknown = [a for a in live if a.state is Op.UNKNOWN]
+    unknown = [a for a in live if a.state is Op.UNKNOWN or (job.service and _lost(node, a))]
     running = [a for a in live if a.running_at and not a.ended]
     done = f"{job.done} of {job.tasks} tasks done, {len(running)} running"
     if job.service:
-        done = f"{_serving(job)} of {job.tasks} replicas running"
+        done = f"{_serving(node, job)} of {job.tasks} replicas running"
     if job.pending == 0:
         if unknown:
             machine = node.fleet.machines.get(unknown[0].machine)
