--- a/petrelthread/intake/test_intake.py
+++ b/petrelthread/intake/test_intake.py
@@ -30,6 +30,11 @@
         {"hulls": "small"},
         {"due_s": -5.0},
         {"crew": ...},
+        {"guess_s": ...},
+        {"mark_s": None},
+        {"stow_s": ...},
+        {"shape": "service", "mark_s": -1.0},
+        {"shape": "service", "legs": 0},
     ],
 )
 def test_malformed_is_400(change: dict[str, Any]) -> None:
--- a/petrelthread/wire/__init__.py
+++ b/petrelthread/wire/__init__.py
@@ -56,10 +56,10 @@
     same_place: bool
     scatter: bool
     driftwood: bool
-    # Null only for a service, which runs until it is cancelled.
-    guess_s: float | None
-    mark_s: float | None
-    stow_s: float | None
+    # Null or left out only for a service, which runs until it is cancelled.
+    guess_s: float | None = None
+    mark_s: float | None = None
+    stow_s: float | None = None
     hulls: tuple[str, ...] | None = None
     roost: str | None = None
     due_s: float | None = None
