--- a/petrelthread/placement/test_place.py
+++ b/petrelthread/placement/test_place.py
@@ -191,3 +191,25 @@
     ]
     got = {turn.job: turn.guaranteed for turn in order(jobs, [(8.0, 0.0)], 0.0)}
     assert got == {0: True, 1: False, 2: True}
+
+
+@pytest.mark.parametrize("scatter", [False, True])
+def test_replicas_go_where_the_fewest_of_their_job_are(scatter: bool) -> None:
+    """By the machine rule alone all went to the one machine that cached their image."""
+    slots = [Slot(n, 0, n % 2, False, 16.0, 0.0, 64.0, {0} if n == 0 else set()) for n in range(4)]
+    beside = {0: 1}
+    want = Want(0, 0, 5, 4, 1.0, 0.0, 1.0, 0, None, None, False, False, scatter, {0: 1})
+    got = place([want._replace(beside=beside)], slots, [TeamRoom(99.0, 0.0)]).placed
+    assert len(got) == 4
+    on = dict.fromkeys(range(4), 0) | beside
+    zones = {0: 1, 1: 0}
+    for _, machine in got:
+        least = min(
+            (zones[n % 2] if scatter else 0, on[n])
+            for n in range(4)
+            if not scatter or zones[n % 2] < 3
+        )
+        assert (zones[machine % 2] if scatter else 0, on[machine]) == least
+        on[machine] += 1
+        zones[machine % 2] += 1
+    assert max(on.values()) == 2
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -253,6 +253,52 @@
     run(scenario, seed)
 
 
+@pytest.mark.parametrize("late_s", [0.0, 3.0])
+def test_the_claim_of_a_start_gets_no_answer_and_the_leader_ends(late_s: float) -> None:
+    """Nothing is sent before the claim is known to count, so nobody starts it beside the next."""
+
+    async def scenario(world: World) -> None:
+        world.run_s = 15.0
+        first = await world.led()
+
+        def fate(source: str, addr: str, method: str, target: str, body: Any) -> Any:
+            rounds = target == "/multi" and "pt/r/" in str(body["apply"])
+            return (late_s, True) if rounds and source == first else (0.0, False)
+
+        world.net.fate = fate
+        await world.submit(job("wk-000001", 6, guess_s=15.0))
+        await asyncio.sleep(9.0)
+        world.crash(first)
+        await world.led()
+        world.boot(first)
+        world.judge.calm_at = now()
+        await world.until_over(120.0)
+
+    run(scenario)
+
+
+def test_a_job_called_off_elsewhere_is_not_started_by_who_has_not_read_it() -> None:
+    """From the confirmation on no task may start, however far behind the leader's watch is."""
+
+    async def scenario(world: World) -> None:
+        leader = await world.led()
+        for n in (1, 2):
+            await world.submit(job(f"wk-{n:06d}", 2, guess_s=5.0))
+        await asyncio.sleep(1.0)
+        world.net.fate = lambda source, addr, method, target, body: (
+            (0.0, source == leader and target.startswith("/watch"))
+        )
+        await asyncio.sleep(0.2)
+        await world.submit(job("wk-000003", 1), nodes=others(leader))  # ends the watch still open
+        assert await cancelled_at(world, "wk-000001", others(leader))
+        await asyncio.sleep(8.0)  # its machines are up meanwhile
+        world.net.fate = None
+        await world.until_over(60.0)
+        assert not [leg for leg in world.judge.started_at if leg.startswith("wk-000001/")]
+
+    run(scenario)
+
+
 # ---- cancelled while machines can't be asked, and the leader changes ---------------------------
 
 
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -180,6 +180,11 @@
             zone = world.where(f"wk-000001/{n}").machine["roost"]
             zones[zone] = zones.get(zone, 0) + 1
         assert max(zones.values()) <= 2
+        await world.submit(service("wk-000003", 1, crew="blue"))
+        await served(world, 30.0)
+        await world.submit(service("wk-000004", 3, crew="guest"))  # the same image
+        await served(world, 30.0)
+        assert len({world.where(f"wk-000004/{n}").name for n in range(3)}) > 1
         await end(world)
 
     run(scenario)
@@ -199,6 +204,14 @@
                 sick._end(leg, entry, "error")
         await asyncio.sleep(0.3)
         assert await served(world, 30.0) < 15.0
+        await asyncio.sleep(10.0)
+        machines = {world.where(f"wk-000001/{n}") for n in range(6)}
+        assert len(machines) > 2
+        for worker in machines:  # all at once, so that none is left to speak for the job
+            for leg, entry in list(worker.tasks.items()):
+                worker._end(leg, entry, "error")
+        await asyncio.sleep(0.3)
+        assert await served(world, 30.0) < 6.0
         await end(world)
 
     run(scenario)
--- a/tests/world.py
+++ b/tests/world.py
@@ -219,8 +219,9 @@
 
 
 class Store:
-    def __init__(self, txn_ops: int) -> None:
+    def __init__(self, txn_ops: int, broken: list[str]) -> None:
         self.txn_ops = txn_ops
+        self.broken = broken  # the judge's
         self.keys: dict[str, tuple[Any, int, int | None]] = {}
         self.revision = 1
         self.log: list[dict[str, Any]] = []
@@ -230,6 +231,7 @@
         self.refused: set[str] = set()
         self.changed = asyncio.Event()
         self.puts: list[tuple[str, Any]] = []
+        self.recorded: set[str] = set()  # tasks whose start has ever been on record
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
@@ -254,6 +256,19 @@
                 self.keys[op["put"]] = (op["v"], self.revision, op.get("tether"))
                 self.log.append({"put": op["put"], "v": op["v"], "stamp": self.revision})
                 self.puts.append((op["put"], op["v"]))
+                if op["put"].startswith("pt/r/"):
+                    self.broken += [
+                        f"started when over: {job_id} by {op['put']}"
+                        for machine, _, jobs in op["v"]
+                        for job_id, _ in jobs
+                        if machine and f"pt/f/{job_id}" in self.keys
+                    ]
+                    self.recorded |= {
+                        f"{job_id}/{task}"
+                        for _, _, jobs in op["v"]
+                        for job_id, tasks in jobs
+                        for task in tasks
+                    }
             elif op["drop"] in self.keys:
                 del self.keys[op["drop"]]
                 self.log.append({"drop": op["drop"], "stamp": self.revision})
@@ -561,6 +576,8 @@
         spec = self.world.jobs[leg.rpartition("/")[0]]
         if self.on.get(leg):
             self.broken.append(f"ran_twice: {leg} on {name} and {self.on[leg]} at {now:.1f}")
+        if leg not in self.world.store.recorded:
+            self.broken.append(f"no record: {leg} started on {name} at {now:.1f}")
         self.on.setdefault(leg, set()).add(name)
         self.used[spec["crew"]] = self.used.get(spec["crew"], 0.0) + spec["cores"]
         self.started_at.setdefault(leg, now)
@@ -671,7 +688,7 @@
         self.jobs: dict[str, dict[str, Any]] = {}
         self.judge = Judge(self)
         self.net = Net(self)
-        self.store = Store(cluster.state.txn_ops)
+        self.store = Store(cluster.state.txn_ops, self.judge.broken)
         self.cloud = Cloud(self)
         self.net.hosts["state:1"] = self.store.handle
         self.net.hosts["cloud:1"] = self.cloud.handle
