A leader that hears no worker gives no machine with replicas back

Now nothing is concluded while most machines' reports are overdue. Ruled out: the machines (they reported to the next leader's sibling). Test: fails on the code before.

--- a/petrelthread/fleet/dispatch.py
+++ b/petrelthread/fleet/dispatch.py
@@ -89,7 +89,7 @@
         finally:
             machine.probing = False
         if self._fleet.epoch == token and machine.heard_at < asked:
-            self._fleet.probed(machine, answered)
+            self._fleet.probed(machine, answered, asyncio.get_running_loop().time())
 
     async def _send(
         self, machine: Machine, starting: list[Attempt], stopping: list[Attempt], token: int
--- a/petrelthread/fleet/table.py
+++ b/petrelthread/fleet/table.py
@@ -167,20 +167,28 @@
 
     def overdue(self, now: float) -> list[Machine]:
         """Machines with replicas whose report should have come: to be asked directly."""
-        latest_s = 1.25 * self.report_s + OVERDUE_S
+        late = self._late(now)
         return [
             machine
-            for machine in self.machines.values()
-            if machine.health is Health.UP
-            and machine.addr
-            and not machine.probing
-            and machine.epoch_answered == self.epoch
-            and now - max(machine.heard_at, self.awake_at) > latest_s
-            and self.serves(machine)
+            for machine in late
+            if machine.addr and not machine.probing and self.serves(machine)
         ]
 
-    def probed(self, machine: Machine, answered: bool) -> None:
+    def _late(self, now: float) -> list[Machine]:
+        """Whose report should have come. None if that holds for most: then it is rather we who do
+        not hear. A leader that no worker reached gave back every machine with replicas, though they
+        were well and its sibling heard them."""
+        latest_s = 1.25 * self.report_s + OVERDUE_S
+        up = [m for m in self.machines.values() if m.health is Health.UP]
+        late = [m for m in up if now - max(m.heard_at, self.awake_at) > latest_s]
+        if len(late) > max(2, len(up) / 2):
+            return []
+        return [m for m in late if m.epoch_answered == self.epoch]
+
+    def probed(self, machine: Machine, answered: bool, now: float) -> None:
         """Not silent for long yet, but neither does it answer."""
+        if machine not in self._late(now):
+            return
         machine.probes_lost = 0 if answered else machine.probes_lost + 1
         if machine.probes_lost >= PROBES_MOST and machine.health is Health.UP:
             log.info("machine %s is silent and does not answer", machine.name)
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -270,3 +270,28 @@
         await end(world)
 
     run(scenario)
+
+
+def test_a_leader_that_hears_no_worker_gives_no_machine_with_replicas_back() -> None:
+    """They were well, and its siblings heard them: it is the leader that has to go."""
+
+    async def scenario(world: World) -> None:
+        world.run_s = 30.0
+        for n in range(3):
+            crew = ("red", "blue", "guest")[n]
+            await world.submit(service(f"wk-{n:06d}", 4, crew=crew))
+            await world.submit(job(f"wk-{n + 10:06d}", 4, crew=crew, guess_s=30.0))
+        await served(world, 30.0)
+        await asyncio.sleep(5.0)
+        starts = {leg: at for leg, at in world.judge.started_at.items() if leg < "wk-000010"}
+        machines = {world.where(leg).name for leg in starts}
+        leader = await world.led()
+        world.net.cut |= {frozenset((leader, name)) for name in world.cloud.machines}
+        await asyncio.sleep(15.0)
+        assert world.leader not in (None, leader)
+        assert machines <= world.cloud.machines.keys()
+        world.net.cut.clear()
+        await served(world, 20.0)
+        await end(world)
+
+    run(scenario)
