--- /dev/null
+++ b/tests/test_mirror.py
@@ -0,0 +1,47 @@
+"""What a reload of all keys may change."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import orjson
+
+from petrelthread.http import Reply
+from petrelthread.store import Budget, Mirror, StateClient
+from tests.virtual import play
+
+
+def test_a_reload_takes_nothing_back_that_a_watch_told_meanwhile() -> None:
+    """Its pages were older: a round known by the watch looked dropped, and its starts settled."""
+    told: list[tuple[str, Any]] = []
+
+    async def request(addr: str, method: str, target: str, body: Any, timeout: float) -> Reply:
+        query = parse_qs(urlsplit(target).query)
+        if target.startswith("/keys"):
+            await asyncio.sleep(1.0)  # the page is as old as the request
+            pairs = [{"path": "pt/f/wk-1", "v": "old", "stamp": 3}]
+            return Reply(200, orjson.dumps({"pairs": pairs, "more": False, "epoch": 5}))
+        assert query["from"] == ["4"]
+        log = [
+            {"put": "pt/r/9", "v": [], "stamp": 7},
+            {"put": "pt/f/wk-1", "v": "done", "stamp": 8},
+        ]
+        return Reply(200, orjson.dumps({"epoch": 8, "log": log}))
+
+    async def main() -> None:
+        client = StateClient(request, "state:1", Budget(100.0, 100.0), Budget(100.0, 100.0))
+        mirror = Mirror(client, lambda key, value, stamp: told.append((key, value)), 0.1)
+        mirror.loaded.set()
+        mirror.revision, mirror.stamps = 4, {"c/1-1": 2}
+        began = asyncio.get_running_loop().time()
+        reload = asyncio.ensure_future(mirror.load())
+        await asyncio.sleep(0.2)
+        assert await mirror.fresh()
+        await reload
+        assert told == [("r/9", []), ("f/wk-1", "done"), ("c/1-1", None)]
+        assert mirror.revision == 8
+        assert began + 0.1 < mirror.last_ok < began + 0.5  # not when the old pages came
+
+    play(main())
