--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -541,3 +541,64 @@
         await world.until_over(200.0)
 
     run(scenario)
+
+
+# ---- the end of a job's last task, and leaders in quick succession -----------------------------
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_cancelled_asked_and_repeated_at_the_end_of_the_last_task(seed: int) -> None:
+    """Either final state may win, but only one, and done only if all tasks are."""
+
+    async def scenario(world: World) -> None:
+        world.run_s = 3.0
+        await world.led()
+
+        async def user(number: int) -> None:
+            job_id = f"wk-{number:06d}"
+            spec = job(job_id, 1 + number % 2, crew=("red", "blue", "guest")[number % 3])
+            await world.submit(spec)
+            last = f"{job_id}/{spec['legs'] - 1}"
+            while last not in world.judge.completed:
+                await asyncio.sleep(0.02)
+            await asyncio.sleep(world.random.uniform(0.0, 0.6))
+            await asyncio.gather(
+                *(world.try_to_cancel(job_id, node) for node in world.random.sample(NODES, 2)),
+                look_closely(world, job_id),
+            )
+            await look_closely(world, job_id)
+
+        await asyncio.gather(*(user(n) for n in range(12)))
+        await world.until_over(60.0)
+
+    run(scenario, seed)
+
+
+@pytest.mark.parametrize("inside_an_outage", [False, True])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_ten_leaders_in_two_minutes(inside_an_outage: bool, seed: int) -> None:
+    """Jobs of two or three tasks that end far apart, so that records outlive several leaders."""
+
+    async def scenario(world: World) -> None:
+        world.run_s, world.spread_s = 4.0, 45.0
+        for n in range(10):
+            crew = ("red", "blue", "guest")[n % 3]
+            await world.submit(job(f"wk-{n:06d}", 2 + n % 2, crew=crew, cores=1.0, guess_s=20.0))
+        await world.running(10)
+        for n in range(10):
+            await asyncio.sleep(world.random.uniform(2.0, 9.0))
+            outage = inside_an_outage and n % 3 == 1
+            world.store.outage(outage)
+            name = world.leader or world.random.choice(NODES)
+            if n % 4 == 3 and not outage:
+                await world.nodes[name].election.resign("a test asks for it", 4.0)
+            else:
+                world.crash(name)
+                await asyncio.sleep(world.random.choice([0.05, 0.5, 4.0]))
+                world.boot(name)
+            await world.poll()
+        world.store.outage(False)
+        world.judge.calm_at = now()
+        await world.until_over(150.0)
+
+    run(scenario, seed)
