A controller that has lent more than its new share still writes a little

The least is 0.2 a second for at most 3 s, within the tenth of the limit that nobody uses. Test: fails before.

--- a/petrelthread/store/shares.py
+++ b/petrelthread/store/shares.py
@@ -12,6 +12,7 @@
 LOAN_S = 3.0
 DRIFT = 1.002
 KEEPS = 0.5  # of its share that a controller never lends: its users come in bursts
+LEAST = 0.2  # a second, until loans given under a larger share have ended
 NEED_MORE = 2.0  # times its writes of late that it may soon need
 
 
@@ -48,4 +49,6 @@
     def rate(self, now: float) -> float:
         lent = sum(self._outstanding(name, now) for name in self._lent)
         borrowed = sum(loan.amount for loan in self._borrowed.values() if loan.until > now)
-        return self.base - lent + borrowed + self.extra
+        # A leader that has just lost the lead may have lent all that a follower's share is. With a
+        # rate of 0 its users' submissions ended in a traceback until the loan was over.
+        return max(LEAST, self.base - lent + borrowed + self.extra)
--- a/petrelthread/store/test_shares.py
+++ b/petrelthread/store/test_shares.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from petrelthread.store.shares import LOAN_S, Shares
+from petrelthread.store.shares import LEAST, LOAN_S, Shares
 
 
 @pytest.mark.parametrize("seed", range(30))
@@ -51,3 +51,13 @@
     assert idle.rate(11.0) == 2.0  # but the first answer still counts there
     assert busy.rate(9.9 + LOAN_S) == 6.0
     assert idle.rate(14.1) == 4.0
+
+
+def test_who_has_lent_all_of_a_smaller_share_still_writes_a_little() -> None:
+    """The lead changed during the loan: a rate of 0 or less made submissions end in a traceback."""
+    node = Shares(8.0)
+    assert node.lend("other", 9.0, 0.0, 10.0) == 4.0
+    for follower in (4.0, 1.0):
+        node.base = follower
+        assert node.rate(10.5) == LEAST > 0
+    assert node.rate(13.2) == 1.0  # the loan is over
