--- a/petrelthread/placement/place.py
+++ b/petrelthread/placement/place.py
@@ -59,6 +59,11 @@
         self.ram_gb -= want.ram_gb
         self.images.add(want.image)
 
+    def give_back(self, cores: float, accelerators: float, ram_gb: float) -> None:
+        self.cores += cores
+        self.accelerators += accelerators
+        self.ram_gb += ram_gb
+
     def copy(self) -> Slot:
         return Slot(
             self.machine,
@@ -116,6 +121,10 @@
             most = min(most, int((self.accelerators + EPS) / want.accelerators))
         return max(0, most)
 
+    def take(self, want: Want, tasks: int) -> None:
+        self.cores -= tasks * want.cores
+        self.accelerators -= tasks * want.accelerators
+
 
 class Round(NamedTuple):
     placed: list[tuple[int, int]]  # job, machine: one entry a task
--- /dev/null
+++ b/petrelthread/placement/replica_room.py
@@ -0,0 +1,118 @@
+"""Which tasks to stop so that the missing replicas of all services find room at once.
+
+A pure function: machines with what is free or soon free on them, replicas without a machine, and
+tasks that may be stopped come in; the tasks to stop come out.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from petrelthread.placement.place import Slot, Want, zone_room
+from petrelthread.placement.preempt import Victim, may_displace
+
+
+class ReplicaNeed(NamedTuple):
+    """Replicas of one service that have no machine."""
+
+    want: Want
+    rank: int
+    guaranteed: bool
+    lacking: int
+    placed_on: tuple[int, ...]  # machines that got replicas of it in this very round
+
+
+class _Choice(NamedTuple):
+    """A machine for one replica, with the tasks that have to leave it; the smaller the better."""
+
+    in_zone: int  # replicas of the service there already, where it is spread over zones
+    on_machine: int
+    fetches_image: bool
+    lost_s: float
+    machine: int
+    victims: tuple[Victim, ...]
+
+
+class RoomMaker:
+    """Keeps account of what the choices made so far leave free."""
+
+    def __init__(
+        self, slots: dict[int, Slot], victims: list[Victim], cores_over_guarantee: list[float]
+    ) -> None:
+        """``slots``: copies, with the room of tasks that are stopping already added."""
+        self._slots = slots
+        self._over = list(cores_over_guarantee)
+        self._victims: dict[int, list[Victim]] = {}
+        for victim in sorted(victims, key=lambda v: (v.rank, v.lost_s, v.job, v.task)):
+            self._victims.setdefault(victim.machine, []).append(victim)
+
+    def make_room(self, need: ReplicaNeed) -> list[Victim]:
+        """Tasks to stop for the replicas of one service; none for those that fit as it is."""
+        want = need.want
+        on_machine = dict(want.beside or {})
+        in_zone = dict(want.live_zones)
+        for machine in need.placed_on:
+            self._count(machine, on_machine, in_zone)
+        stopped: list[Victim] = []
+        for _ in range(need.lacking):
+            choice = self._choose(need, on_machine, in_zone)
+            if choice is None:
+                break
+            self._apply(choice, want)
+            self._count(choice.machine, on_machine, in_zone)
+            stopped += choice.victims
+        return stopped
+
+    def _count(self, machine: int, on_machine: dict[int, int], in_zone: dict[int, int]) -> None:
+        on_machine[machine] = on_machine.get(machine, 0) + 1
+        slot = self._slots.get(machine)
+        if slot is not None:
+            in_zone[slot.zone] = in_zone.get(slot.zone, 0) + 1
+
+    def _choose(
+        self, need: ReplicaNeed, on_machine: dict[int, int], in_zone: dict[int, int]
+    ) -> _Choice | None:
+        want = need.want
+        room = zone_room(want._replace(live_zones=in_zone))
+        choices = []
+        for machine, slot in self._slots.items():
+            if not slot.allowed(want) or room(slot.zone) <= 0:
+                continue
+            victims = self._victims_on(slot, need)
+            if victims is None:
+                continue
+            choices.append(
+                _Choice(
+                    in_zone.get(slot.zone, 0) if want.scatter else 0,
+                    on_machine.get(machine, 0),
+                    want.image not in slot.images,
+                    sum(victim.lost_s for victim in victims),
+                    machine,
+                    tuple(victims),
+                )
+            )
+        return min(choices, default=None)
+
+    def _victims_on(self, slot: Slot, need: ReplicaNeed) -> list[Victim] | None:
+        """The least loss that makes room for one replica there; None if nothing does."""
+        want = need.want
+        left = slot.copy()
+        over = dict(enumerate(self._over))
+        taken: list[Victim] = []
+        for victim in self._victims.get(slot.machine, ()):
+            if left.fits(want):
+                break
+            if not may_displace(want, need.rank, need.guaranteed, victim, over[victim.team]):
+                continue
+            taken.append(victim)
+            over[victim.team] -= victim.cores
+            left.give_back(victim.cores, victim.accelerators, victim.ram_gb)
+        return taken if left.fits(want) else None
+
+    def _apply(self, choice: _Choice, want: Want) -> None:
+        slot = self._slots[choice.machine]
+        for victim in choice.victims:
+            self._victims[choice.machine].remove(victim)
+            self._over[victim.team] -= victim.cores
+            slot.give_back(victim.cores, victim.accelerators, victim.ram_gb)
+        slot.take(want)
--- a/petrelthread/placement/rounds.py
+++ b/petrelthread/placement/rounds.py
@@ -135,13 +135,13 @@
             done.placed.extend(place(rest, surplus, teams).placed)
         placements: list[Placement] = []
         tasks: dict[int, Any] = {}
-        placed: dict[int, int] = {}
+        placed: dict[int, list[int]] = {}  # by job: the machines that got a task of it
         for job_index, machine_index in done.placed:
             job = self._book.jobs[job_index]
             if job_index not in tasks:
                 tasks[job_index] = job.pending_tasks()
             placements.append((job, next(tasks[job_index]), self._fleet.machines[machine_index]))
-            placed[job_index] = placed.get(job_index, 0) + 1
+            placed.setdefault(job_index, []).append(machine_index)
         if done.next_start:
             return placements, []
         stops = self._stops.for_room(wants, guaranteed, placed, teams, slots, use, kept, now)
--- a/petrelthread/placement/stops.py
+++ b/petrelthread/placement/stops.py
@@ -8,10 +8,11 @@
 
 from petrelthread import wire
 from petrelthread.fleet import Fleet, Health
-from petrelthread.ledger import Attempt, Book, Op
+from petrelthread.ledger import Attempt, Book, Job, Op
 from petrelthread.placement.order import BEGIN_S
-from petrelthread.placement.place import Slot, TeamRoom, Want, zone_room
+from petrelthread.placement.place import Slot, TeamRoom, Want
 from petrelthread.placement.preempt import Victim, choose_victims, served_before
+from petrelthread.placement.replica_room import ReplicaNeed, RoomMaker
 from petrelthread.placement.view import View
 from petrelthread.settings import Settings
 
@@ -40,27 +41,31 @@
         self,
         wants: list[Want],
         guaranteed: dict[int, bool],
-        placed: dict[int, int],
+        placed: dict[int, list[int]],
         teams: list[TeamRoom],
         slots: dict[int, Slot],
         use: list[tuple[float, float]],
         kept: set[int],
         now: float,
     ) -> list[Attempt]:
-        """Stop work for jobs that had to wait too long; what stops now makes room next round."""
+        """Stop work for jobs that had to wait too long; what stops now makes room next round.
+
+        ``placed``: the machines that got tasks of a job in this round.
+        """
+        over = [u[0] - t.cpus for u, t in zip(use, self._view.teams, strict=False)]
+        for_replicas = self._for_replicas(wants, guaranteed, placed, teams, slots, over, kept, now)
+        if for_replicas:
+            return for_replicas
         victims: list[Victim] | None = None
         for want in wants:
             job = self._book.jobs[want.job]
-            if self._fleet.suspect(job):
+            if job.service or self._fleet.suspect(job):
                 continue
             # A job that still gets room as it falls free does not need others to be stopped.
             waiting_s = time.time() - max(job.accepted_at, job.last_start_at)
-            lacking = min(want.pending - placed.get(want.job, 0), teams[want.team].most(want))
-            # Each second that a replica is missing is one that its users miss it.
-            patience_s = 0.0 if job.service else self._patience.get(job.jobclass, PATIENCE_S)
-            if lacking <= 0 or waiting_s < patience_s or want.same_place:
-                continue
-            if want.scatter and not job.service:
+            lacking = self._lacking(want, placed, teams)
+            patience_s = self._patience.get(job.jobclass, PATIENCE_S)
+            if lacking <= 0 or waiting_s < patience_s or want.same_place or want.scatter:
                 continue
             if job.rank < wire.RANKS["high"] and not guaranteed[want.job]:
                 continue
@@ -68,42 +73,88 @@
                 if self._stopping(now):
                     return []  # let the room made so far be used first
                 victims = self._victims(now)
-                full, surplus = self._view.slots()
-                slots = {**{slot.machine: slot for slot in surplus}, **full, **slots}
-            over = [u[0] - t.cpus for u, t in zip(use, self._view.teams, strict=False)]
+                slots = self._all_slots(slots)
             inside = guaranteed[want.job]
             behind = [
                 v
                 for v in victims
-                if v.machine not in kept
-                and (job.service or served_before(job.rank, inside, v, guaranteed))
+                if v.machine not in kept and served_before(job.rank, inside, v, guaranteed)
             ]
-            if want.scatter:
-                room = zone_room(want)
-                behind = [v for v in behind if room(self._fleet.machines[v.machine].zone) > 0]
             chosen = choose_victims(want, job.rank, inside, lacking, behind, slots, over)
-            out = []
-            for victim in chosen:
-                attempt = self._book.jobs[victim.job].live.get(victim.task)
-                if attempt is not None:
-                    out.append(attempt)
-                    # Each stop doubles what the next one counts for: a task that had just begun
-                    # is the least loss, and some were stopped and started anew four times.
-                    stops = attempt.job.stops
-                    stops[attempt.task] = stops.get(attempt.task, 0) + 1
-                    log.info(
-                        "stopping %s/%d to make room for %s", attempt.job.id, attempt.task, job.id
-                    )
+            out = self._attempts(chosen, job)
             if out:
                 return out
         return []
 
-    def _stopping(self, now: float) -> bool:
-        return any(
-            attempt.halted_at and not attempt.ended and now - attempt.halted_at < STOP_S
+    def _for_replicas(
+        self,
+        wants: list[Want],
+        guaranteed: dict[int, bool],
+        placed: dict[int, list[int]],
+        teams: list[TeamRoom],
+        slots: dict[int, Slot],
+        over: list[float],
+        kept: set[int],
+        now: float,
+    ) -> list[Attempt]:
+        """Stop work for all missing replicas at once: each second is one that users miss them.
+
+        One service a round, waiting for each stop to end, took 15 s when a zone was lost.
+        """
+        needs = []
+        for want in wants:
+            job = self._book.jobs[want.job]
+            lacking = self._lacking(want, placed, teams) if job.service else 0
+            if lacking <= 0 or want.same_place or self._fleet.suspect(job):
+                continue
+            teams[want.team].take(want, lacking)
+            on = tuple(placed.get(want.job, ()))
+            needs.append(ReplicaNeed(want, job.rank, guaranteed[want.job], lacking, on))
+        if not needs:
+            return []
+        room = {m: slot.copy() for m, slot in self._all_slots(slots).items() if m not in kept}
+        for attempt in self._stopping(now):
+            slot = room.get(attempt.machine)
+            if slot is not None:
+                slot.give_back(attempt.job.cores, attempt.job.accelerators, attempt.job.ram_gb)
+        maker = RoomMaker(room, self._victims(now), over)
+        out = []
+        for need in needs:
+            out += self._attempts(maker.make_room(need), self._book.jobs[need.want.job])
+        return out
+
+    def _lacking(self, want: Want, placed: dict[int, list[int]], teams: list[TeamRoom]) -> int:
+        """How many tasks still want room that their team's limit leaves them."""
+        return min(want.pending - len(placed.get(want.job, ())), teams[want.team].most(want))
+
+    def _all_slots(self, slots: dict[int, Slot]) -> dict[int, Slot]:
+        """Full machines too, which a round leaves out; ``slots``: as the round has left them."""
+        full, surplus = self._view.slots()
+        return {**{slot.machine: slot for slot in surplus}, **full, **slots}
+
+    def _attempts(self, victims: list[Victim], job: Job) -> list[Attempt]:
+        """The attempts to stop for a job, with account of how often each task was stopped."""
+        out = []
+        for victim in victims:
+            attempt = self._book.jobs[victim.job].live.get(victim.task)
+            if attempt is None:
+                continue
+            out.append(attempt)
+            # Each stop doubles what the next one counts for: a task that had just begun is the
+            # least loss, and some were stopped and started anew four times.
+            stops = attempt.job.stops
+            stops[attempt.task] = stops.get(attempt.task, 0) + 1
+            log.info("stopping %s/%d to make room for %s", attempt.job.id, attempt.task, job.id)
+        return out
+
+    def _stopping(self, now: float) -> list[Attempt]:
+        """Those that were told to stop a moment ago: their room is about to fall free."""
+        return [
+            attempt
             for there in self._book.on_machine.values()
             for attempt in there.values()
-        )
+            if attempt.halted_at and not attempt.ended and now - attempt.halted_at < STOP_S
+        ]
 
     def _victims(self, now: float) -> list[Victim]:
         out = []
--- a/petrelthread/rental/keeper.py
+++ b/petrelthread/rental/keeper.py
@@ -25,6 +25,7 @@
     in_turn,
     plan,
 )
+from petrelthread.rental.reserve import Arrivals, standing_reserve
 from petrelthread.settings import Settings
 from petrelthread.store import ROOT
 
@@ -34,7 +35,7 @@
 CATALOG_EVERY_S = 60.0
 REPEAT_S = 1.5
 REPLANS = 10
-LIKELY_NEXT = 2.0  # services as large as the largest of late that may come while a machine boots
+UNKNOWN_BOOT_S = 30.0  # until the catalogue is read
 EXPECTED_MACHINES = 2  # in each zone, of the smallest type, for what must start before one boots
 LATE_BOOT = 1.6  # times the usual boot time: later than that, a machine is no capacity
 PROBED_ON = 6  # machines: a job that failed on more of them and completed nothing gets no other
@@ -86,8 +87,8 @@
         self._listed_at = float("-inf")
         self._list_ok_at = float("-inf")  # when the newest list that was answered was asked for
         self._catalog_at = float("-inf")
-        self._accepted: list[tuple[float, float]] = []  # (when, cores) of jobs that must start soon
-        self._services: list[tuple[float, float]] = []  # likewise, of services
+        self._accepted = Arrivals()  # of jobs that must start soon
+        self._services = Arrivals()
         # How soon they should start, by class.
         self._waiting_classes: dict[int, float] = {}
         for objective in settings.cluster.objectives:
@@ -128,11 +129,11 @@
         self._serial = 0
         self._listed_at = float("-inf")
         wall = time.time()
-        self._services = [
+        self._services = Arrivals(
             (now - (wall - job.accepted_at), job.tasks * job.cores)
             for job in self._book.jobs
             if job.service
-        ]
+        )
         for charter, value in self._book.rentals.items():
             op = CloudOp(f"c/{charter}", value, Op.UNKNOWN)
             op.unknown_at = now
@@ -257,18 +258,29 @@
 
     def note_accepted(self, job: Job, now: float) -> None:
         if job.service:
-            self._services.append((now, job.tasks * job.cores))
+            self._services.note(now, job.tasks * job.cores)
         elif job.jobclass in self._waiting_classes:
-            self._accepted.append((now, job.tasks * job.cores))
+            self._accepted.note(now, job.tasks * job.cores)
 
     def _standing_reserve(self, now: float) -> float:
-        """Cores for services likely to come while a machine boots: what came lately goes on."""
-        window = 90.0
-        self._services = [(at, cores) for at, cores in self._services if now - at < window]
-        boot = max((h.startup_s for h in self.hulls.values()), default=30.0) + 10.0
-        coming = sum(cores for _, cores in self._services) / window * boot
-        largest = max((cores for _, cores in self._services), default=0.0)
-        return max(coming, LIKELY_NEXT * largest)
+        zones = len(self._open_zones())
+        return standing_reserve(self._services, now, self._boot_s(), self._spread_cores(), zones)
+
+    def _spread_cores(self) -> float:
+        """Of services that are spread over all zones."""
+        return sum(
+            job.tasks * job.cores
+            for job in self._book.open.values()
+            if job.service and job.scatter and job.zone is None and not self._fleet.suspect(job)
+        )
+
+    def _boot_s(self) -> float:
+        return max((hull.startup_s for hull in self.hulls.values()), default=UNKNOWN_BOOT_S)
+
+    def _open_zones(self) -> list[int]:
+        names = self._book.names.zones
+        zones = {names.index(zone) for hull in self.hulls.values() for zone in hull.roosts}
+        return sorted(zone for zone in zones if zone not in self._zones_down)
 
     def _expected(self) -> list[Demand]:
         """A little room on ordinary machines in each zone for classes that have to start sooner
@@ -301,10 +313,7 @@
 
     def _reserve(self, now: float) -> float:
         """Cores that jobs which must start soon are likely to ask for within a boot time."""
-        window = 90.0
-        self._accepted = [(at, cores) for at, cores in self._accepted if now - at < window]
-        boot = max((h.startup_s for h in self.hulls.values()), default=30.0) + 10.0
-        return sum(cores for _, cores in self._accepted) / window * boot
+        return self._accepted.expected_cores(now, self._boot_s())
 
     def _demands(self, now: float) -> list[Demand]:
         left = [[team.most_cores, team.most_accelerators] for team in self._view.teams]
@@ -361,9 +370,7 @@
         """Room for all replicas, always. Spread over zones there has to be some in each."""
         shares = {job.zone: job.tasks}
         if job.scatter and job.zone is None:
-            names = self._book.names.zones
-            zones = {names.index(zone) for hull in self.hulls.values() for zone in hull.roosts}
-            open_zones = sorted(zone for zone in zones if zone not in self._zones_down)
+            open_zones = self._open_zones()
             if open_zones:
                 count = len(open_zones)
                 # Which zone gets one more than the others differs from job to job.
