First ordinary machines also for classes that slow boots would make late

When boots are slow the first replicas waited a minute.

Ruled out: pieces of one core left by the other class (replicas waited with whole machines booting).

--- a/petrelthread/rental/keeper.py
+++ b/petrelthread/rental/keeper.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import time
 from collections.abc import Callable, Collection
 from typing import Any
@@ -36,7 +37,8 @@
 REPEAT_S = 1.5
 REPLANS = 10
 UNKNOWN_BOOT_S = 30.0  # until the catalogue is read
-EXPECTED_MACHINES = 2  # in each zone, of the smallest type, for what must start before one boots
+EXPECTED_MACHINES = 6  # in all zones together, of the smallest type, for classes not seen yet
+SLOW_BOOT = 2.0  # times the usual boot time: what has to start within it can't wait for a machine
 LATE_BOOT = 1.6  # times the usual boot time: later than that, a machine is no capacity
 PROBED_ON = 6  # machines: a job that failed on more of them and completed nothing gets no other
 LOST_BOOT = 2.5  # and later than this it is given back
@@ -284,19 +286,24 @@
 
     def _expected(self) -> list[Demand]:
         """A little room on ordinary machines in each zone for classes that have to start sooner
-        than a machine boots, and of which nobody has seen a job: they may not use cheap ones."""
+        than a slow machine boots, and of which nobody has seen a job: they may not use cheap ones.
+
+        Judged by the usual boot time, the first services of a class waited a minute when boots
+        were slow.
+        """
         seen = {job.jobclass for job in self._book.jobs}
         boot_s = min((h.startup_s for h in self.hulls.values()), default=0.0)
         if not self._book.open or not any(
-            within_s < boot_s and index not in seen
+            within_s < SLOW_BOOT * boot_s and index not in seen
             for index, within_s in self._waiting_classes.items()
         ):
             return []
         smallest = min(self.hulls.values(), key=lambda hull: (hull.cores, hull.hourly))
         names = self._book.names.zones
+        machines = math.ceil(EXPECTED_MACHINES / max(1, len(smallest.roosts)))
         return [
             Demand(
-                EXPECTED_MACHINES,
+                machines,
                 0.0,
                 0.0,
                 smallest.cores,
