The rate of services is taken over the time since they began

Cause: divided by the whole window of 90 s, the rate of services that have just begun is a third of the true one, so the reserve was too small in the very seconds in which the first ones come.

--- a/petrelthread/rental/keeper.py
+++ b/petrelthread/rental/keeper.py
@@ -90,7 +90,7 @@
         self._list_ok_at = float("-inf")  # when the newest list that was answered was asked for
         self._catalog_at = float("-inf")
         self._accepted = Arrivals()  # of jobs that must start soon
-        self._services = Arrivals()
+        self._services = Arrivals(ramps=True)
         # How soon they should start, by class.
         self._waiting_classes: dict[int, float] = {}
         for objective in settings.cluster.objectives:
@@ -131,11 +131,12 @@
         self._serial = 0
         self._listed_at = float("-inf")
         wall = time.time()
-        self._services = Arrivals(
+        seen = [
             (now - (wall - job.accepted_at), job.tasks * job.cores)
             for job in self._book.jobs
             if job.service
-        )
+        ]
+        self._services = Arrivals(seen, ramps=True)
         for charter, value in self._book.rentals.items():
             op = CloudOp(f"c/{charter}", value, Op.UNKNOWN)
             op.unknown_at = now
--- a/petrelthread/rental/reserve.py
+++ b/petrelthread/rental/reserve.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 
 WINDOW_S = 90.0  # arrivals of so long ago say what to expect
+LEAST_SPAN_S = 30.0  # one job alone does not yet say how often they come
 SLOW_BOOT_S = 10.0  # that a machine may take beyond the usual boot time
 LIKELY_NEXT = 2.0  # services as large as the largest of late that may come while a machine boots
 MOVABLE_ZONES = 3  # of as many, one may be lost and its replicas go to the others
@@ -13,17 +14,27 @@
 class Arrivals:
     """Cores asked for by the jobs of some kind that arrived lately."""
 
-    def __init__(self, seen: Iterable[tuple[float, float]] = ()) -> None:
-        """``seen``: the instant and the cores of each job."""
+    def __init__(self, seen: Iterable[tuple[float, float]] = (), ramps: bool = False) -> None:
+        """``seen``: the instant and the cores of each job. ``ramps``: they begin at some moment and
+        go on from there; over the whole window, their rate is underestimated at first."""
         self._seen = list(seen)
+        self._ramps = ramps
 
     def note(self, now: float, cores: float) -> None:
         self._seen.append((now, cores))
 
     def expected_cores(self, now: float, boot_s: float) -> float:
         """Likely to be asked for while a machine boots, if arrivals go on as they did."""
+        return self._cores_per_s(now) * (boot_s + SLOW_BOOT_S)
+
+    def _cores_per_s(self, now: float) -> float:
         self._forget(now)
-        return sum(cores for _, cores in self._seen) / WINDOW_S * (boot_s + SLOW_BOOT_S)
+        return sum(cores for _, cores in self._seen) / self._span_s(now)
+
+    def _span_s(self, now: float) -> float:
+        """Over how long the arrivals are spread; shorter while they have only begun."""
+        first_at = min((at for at, _ in self._seen), default=now)
+        return min(WINDOW_S, max(LEAST_SPAN_S, now - first_at)) if self._ramps else WINDOW_S
 
     def largest(self, now: float) -> float:
         self._forget(now)
--- a/petrelthread/rental/test_reserve.py
+++ b/petrelthread/rental/test_reserve.py
@@ -29,3 +29,12 @@
 def test_no_room_is_kept_where_nothing_can_move() -> None:
     """At most half of a service may be in one zone, also in the last of two."""
     assert lost_with_a_zone(60.0, 2) == lost_with_a_zone(60.0, 1) == 0.0
+
+
+def test_the_rate_of_services_is_taken_over_the_time_since_they_began() -> None:
+    """Over the whole window it was a third of the true rate at first, and replicas waited."""
+    begun = [(100.0, 6.0), (110.0, 6.0), (120.0, 6.0), (130.0, 6.0)]
+    assert Arrivals(begun, ramps=True).expected_cores(130.0, BOOT_S) == 24.0 / 30.0 * 45.0
+    assert Arrivals(begun).expected_cores(130.0, BOOT_S) == 24.0 / 90.0 * 45.0
+    # A single job does not say more than that one came within the least span.
+    assert Arrivals([(100.0, 6.0)], ramps=True).expected_cores(100.0, BOOT_S) == 9.0
