The present write rate holds until a refusal shows the lowered one

A write beyond the rate is refused with 429 and surely not carried out, so it may be learnt; value and transaction sizes, whose excess would be refused for ever, hold from the first write as before.

--- a/petrelthread/controller.py
+++ b/petrelthread/controller.py
@@ -28,12 +28,11 @@
 from petrelthread.rental import CloudClient, Options
 from petrelthread.rental.keeper import Keeper
 from petrelthread.settings import Settings
-from petrelthread.store import ROOT, Budget, Mirror, Request, Shares, StateClient
+from petrelthread.store import ROOT, Budget, Mirror, Request, Shares, StateClient, WriteRates
 
 log = logging.getLogger(__name__)
 
-STATE_SHARE = 0.9  # of the service's limits, over all controllers
-LEADER_WRITES = 0.6
+STATE_SHARE = 0.9  # of the state service's limits, over all controllers
 UNHEARD_S = 10.0  # a sibling not heard for so long is likely to write nothing
 LEND_AFTER_S = 20.0  # since the start, and since the service last refused us for our rate
 CLEAN_UP_KEEPS = 0.5  # of the write burst that dropping settled records leaves untouched
@@ -62,14 +61,12 @@
         cluster = settings.cluster
         workers = cluster.workers
         nodes = max(1, cluster.count)
-        rps, wps = cluster.state.rps * STATE_SHARE, cluster.state.write_rps * STATE_SHARE
-        self._reads = Budget(rps / nodes, rps / nodes / 2)
-        self._writes = Budget(wps / nodes, wps / 2)
-        # Beyond its share a leader may use, for siblings not heard from, half of what they have;
-        # they may be alive. Together with what we leave free that stays within the limit.
-        self._write_margin = cluster.state.write_rps * (1 - STATE_SHARE)
-        self._write_rates = (wps * LEADER_WRITES, wps * (1 - LEADER_WRITES) / max(1, nodes - 1))
-        self.shares = Shares(self._write_rates[1])
+        reads = cluster.state.rps * STATE_SHARE / nodes
+        self._reads = Budget(reads, reads / 2)
+        self._write_limit = cluster.state.write_rps
+        self._write_rates = WriteRates.divide(self._write_limit, nodes)
+        self._writes = Budget(self._write_limit * STATE_SHARE / nodes, self._write_rates.burst)
+        self.shares = Shares(self._write_rates.follower)
         self._writes_of_late = 0.0
         self._started_at = float("inf")
         names = NamesBook([team.name for team in cluster.teams], cluster.zones)
@@ -187,7 +184,6 @@
 
     def _on_role(self, role: Role) -> None:
         acting = role in ACTING
-        self.shares.base = self._write_rates[0 if acting else 1]
         self._set_write_rate(asyncio.get_running_loop().time())
         self.mirror.gap_s = 0.03 if acting else 0.15
         if role is Role.LEADING:
@@ -253,12 +249,27 @@
         refused = now - self.state.refused_at < LEND_AFTER_S
         return not refused and now - self._started_at > LEND_AFTER_S
 
+    def _learn_write_limit(self) -> None:
+        """A refused write shows that the service may have lowered its limit, as was announced."""
+        lowered = self.settings.cluster.state.lowered_write_rps
+        if not self.state.write_refused or self._write_limit <= lowered:
+            return
+        log.info("the state service takes %.0f writes a second from now on", lowered)
+        self._write_limit = lowered
+        self._write_rates = WriteRates.divide(lowered, max(1, self.settings.cluster.count))
+        self._writes.burst = max(self._write_rates.burst, 1.0)
+
     def _set_write_rate(self, now: float) -> None:
+        self._learn_write_limit()
         unheard = len(self.settings.siblings) - len(self.gossip.fresh(UNHEARD_S))
         if self.election.role not in ACTING or not self._may_ask(now):
             unheard = 0
-        idle = unheard * self._write_rates[1] / 2
-        self.shares.extra = min(self._write_margin, idle)
+        rates = self._write_rates
+        self.shares.base = rates.leader if self.election.role in ACTING else rates.follower
+        # Beyond its share a leader may use, for siblings not heard from, half of what they have;
+        # they may be alive. Together with what we leave free that stays within the limit.
+        idle = unheard * rates.follower / 2
+        self.shares.extra = min(rates.unused, idle)
         self._writes.set_rate(self.shares.rate(now), now)
 
     def _recent_reports(self, now: float) -> int:
--- a/petrelthread/settings/__init__.py
+++ b/petrelthread/settings/__init__.py
@@ -75,19 +75,28 @@
     next: NextState | None = None
 
     def in_force(self) -> State:
-        """The smaller of both for each limit: what is written never breaks either.
+        """Limits that hold for every write from the first one on.
 
-        Nobody tells when the new ones begin, so they hold from the first write. Everything else
-        reads this alone.
+        Nobody tells when the next ones begin. A larger value or transaction would be refused for
+        ever, so the smaller of both limits holds at once. A write that comes too early is refused
+        harmlessly: for that the present rate holds until a refusal shows ``lowered_write_rps``.
+        Everything else reads this alone.
         """
         after = self.next or NextState()
         return State(
             min(self.rps, self.rps if after.rps is None else after.rps),
-            min(self.write_rps, self.write_rps if after.write_rps is None else after.write_rps),
+            self.write_rps,
             min(self.value_kb, self.value_kb if after.value_kb is None else after.value_kb),
             min(self.txn_ops, self.txn_ops if after.txn_ops is None else after.txn_ops),
+            after,
         )
 
+    @property
+    def lowered_write_rps(self) -> float:
+        """The write rate that holds once the service has lowered its limits."""
+        later = None if self.next is None else self.next.write_rps
+        return self.write_rps if later is None else min(self.write_rps, later)
+
 
 class Cloud(msgspec.Struct, frozen=True):
     rps: float
--- a/petrelthread/settings/test_settings.py
+++ b/petrelthread/settings/test_settings.py
@@ -53,6 +53,14 @@
     later = parse(text).cluster.state
     assert (later.value_kb, later.txn_ops) == (2.0, 4)
     assert (later.write_rps, later.rps) == (now.write_rps, now.rps)
+    assert later.lowered_write_rps == now.lowered_write_rps == now.write_rps
+
+
+def test_a_lower_write_rate_that_will_come_holds_once_it_is_seen() -> None:
+    """A write beyond it is refused harmlessly; what is too large would be refused for ever."""
+    text = GOOD + "[cluster.state.next]\nwrite_rps = 18.0\nrps = 90.0\n"
+    state = parse(text).cluster.state
+    assert (state.write_rps, state.lowered_write_rps, state.rps) == (60.0, 18.0, 90.0)
 
 
 def test_missing_file_is_named(tmp_path: object) -> None:
--- a/petrelthread/store/__init__.py
+++ b/petrelthread/store/__init__.py
@@ -12,6 +12,7 @@
     StateUnsure,
 )
 from petrelthread.store.mirror import ROOT, Mirror
+from petrelthread.store.rates import WriteRates
 from petrelthread.store.shares import Shares
 
 __all__ = [
@@ -27,4 +28,5 @@
     "StateDown",
     "StateRefused",
     "StateUnsure",
+    "WriteRates",
 ]
--- a/petrelthread/store/client.py
+++ b/petrelthread/store/client.py
@@ -116,6 +116,7 @@
         self.reads = reads
         self.writes = writes
         self.refused_at = float("-inf")  # when the service last found our rates too high
+        self.write_refused = False  # it found the rate of our writes too high at least once
 
     async def _call(
         self, method: str, target: str, body: Any = None, timeout: float = 1.0, urgent: bool = False
@@ -161,7 +162,11 @@
     ) -> int:
         if ops:
             await self.writes.take(len(ops))
-        reply = await self._call("POST", "/multi", wire.multi(conditions, ops), timeout)
+        try:
+            reply = await self._call("POST", "/multi", wire.multi(conditions, ops), timeout)
+        except StateBusy:
+            self.write_refused = self.write_refused or bool(ops)
+            raise
         if reply.status == 200:
             return _decode(reply.body, wire.MultiDone).epoch
         if reply.status == 409:
--- /dev/null
+++ b/petrelthread/store/test_rates.py
@@ -0,0 +1,30 @@
+"""The write limit's division, and how a lowered one is learnt."""
+
+from __future__ import annotations
+
+import pytest
+
+from petrelthread.http import Reply
+from petrelthread.store import Budget, StateBusy, StateClient, WriteRates
+from tests.virtual import play
+
+
+@pytest.mark.parametrize("controllers", [1, 2, 5])
+def test_all_shares_together_stay_within_the_limit(controllers: int) -> None:
+    rates = WriteRates.divide(25.0, controllers)
+    used = rates.leader + (controllers - 1) * rates.follower
+    assert 0.5 * 25.0 < used <= 25.0 - rates.unused + 1e-9
+    assert rates.unused > 0
+
+
+@pytest.mark.parametrize(("ops", "shows"), [([{"put": "pt/a", "v": 1}], True), ([], False)])
+def test_only_a_refused_write_shows_that_the_write_limit_dropped(
+    ops: list[dict[str, object]], shows: bool
+) -> None:
+    async def refused(*args: object, **kwargs: object) -> Reply:
+        return Reply(429, b"")
+
+    client = StateClient(refused, "state:1", Budget(100.0, 100.0), Budget(100.0, 100.0))
+    with pytest.raises(StateBusy):
+        play(client.multi([], ops))
+    assert client.write_refused is shows
