--- a/petrelthread/admin/api.py
+++ b/petrelthread/admin/api.py
@@ -43,7 +43,7 @@
             return refusal(405, "use GET")
         # On waking from a standstill, or cut off for a while, this node may take itself for the
         # leader still: what it shows is no older than what others were told, or says so.
-        await self._node.mirror.fresh()
+        await self._node.watch_cache.fresh()
         home = self._addrs.get(self._node.election.home or "")
         if not self._node.election.leading and home and DIRECT not in query:
             try:
@@ -62,7 +62,7 @@
         return answer(200, views.explain(self._node, job, now))
 
     async def _get_settings(self) -> Response:
-        if not await self._node.mirror.fresh():
+        if not await self._node.watch_cache.fresh():
             return refusal(503, "state service unreachable", 2)
         stored = self._node.book.options or {"values": {}, "stamp": 0}
         values = with_defaults(stored["values"])
@@ -86,7 +86,7 @@
                 raise OptionError(f"unknown setting {name}")
         except OptionError as error:
             return refusal(400, str(error))
-        if not await self._node.mirror.fresh():
+        if not await self._node.watch_cache.fresh():
             return refusal(503, "state service unreachable", 2)
         stored: dict[str, Any] = self._node.book.options or {"values": {}, "stamp": 0}
         if stored["stamp"] != version:
--- a/petrelthread/admin/troubles.py
+++ b/petrelthread/admin/troubles.py
@@ -25,29 +25,33 @@
     """By kind, so that a count that changes is the same trouble still."""
     out: dict[str, str] = {}
     election = node.election
-    silent_s = now - node.mirror.last_ok
-    if not node.mirror.loaded.is_set():
+    silent_s = now - node.watch_cache.last_ok
+    if not node.watch_cache.loaded.is_set():
         out["state"] = "this node has not yet read the state service"
     elif silent_s > STATE_S:
         out["state"] = "the state service does not answer this node: nothing is accepted or started"
     elif election.leader is None:
         out["leader"] = "there is no leader: nothing is started"
-    if now - node.awake.since < 10.0:
-        out["still"] = f"this node stood still for {node.awake.stood_s:.0f} s"
+    if now - node.pause_detector.since < 10.0:
+        out["still"] = f"this node stood still for {node.pause_detector.stood_s:.0f} s"
     if not election.leading:
         return out
-    late = node.keeper.late_boots(now)
+    late = node.provisioner.late_boots(now)
     if late:
         out["boots"] = f"{late} machines are late in booting and count for nothing until they come"
-    deaf = sum(bool(m.deaf) and m.health is Health.UP for m in node.fleet.machines.values())
+    deaf = sum(
+        bool(m.not_receiving) and m.health is Health.UP for m in node.fleet.machines.values()
+    )
     if deaf:
         out["deaf"] = f"{deaf} machines report but do not hear us"
     suspects = [job.id for job in node.book.open.values() if node.fleet.suspect(job)]
     if suspects:
         shown = ", ".join(suspects[:5]) + (", ..." if len(suspects) > 5 else "")
         out["suspects"] = f"{len(suspects)} jobs fail everywhere until they are cancelled: {shown}"
-    if node.rounds.held:
-        out["held"] = f"{len(node.rounds.held)} jobs should have begun: a machine is kept for each"
+    if node.scheduler.reserved:
+        out["held"] = (
+            f"{len(node.scheduler.reserved)} jobs should have begun: a machine is kept for each"
+        )
     cut = ", ".join(node.book.names.zones.name(zone) for zone in sorted(node.zone_watch.down))
     if cut:
         out["zones"] = f"cut off: {cut}"
--- a/petrelthread/admin/views.py
+++ b/petrelthread/admin/views.py
@@ -21,10 +21,10 @@
         {
             "node": name,
             "heard_s_ago": round(now - heard.at, 1),
-            "state_service": heard.hello.state_ok,
-            "workers_heard": heard.hello.workers,
+            "state_service": heard.heartbeat.state_ok,
+            "workers_heard": heard.heartbeat.workers,
         }
-        for name, heard in sorted(node.gossip.heard.items())
+        for name, heard in sorted(node.heartbeats.heard.items())
     ]
     use = node.view.team_use()
     backlog: dict[str, dict[str, int]] = {}
@@ -43,7 +43,7 @@
         "role": election.role.value,
         "leader": election.home,
         "epoch": election.known_epoch,
-        "state_service": now - node.mirror.last_ok < STATE_S,
+        "state_service": now - node.watch_cache.last_ok < STATE_S,
         "siblings": siblings,
         "zones": zones(node),
         "machines": _machines(node),
@@ -83,7 +83,7 @@
     for machine in node.fleet.machines.values():
         if machine.health is not Health.GONE:
             state = machine.health.value
-            if machine.health is Health.UP and machine.deaf:
+            if machine.health is Health.UP and machine.not_receiving:
                 state = "hears nothing"
             out[state] = out.get(state, 0) + 1
     return out
@@ -120,7 +120,7 @@
 def operations(node: Controller, now: float) -> list[dict[str, Any]]:
     """The unknown ones, with their age and the evidence that will settle them."""
     out: list[dict[str, Any]] = []
-    for op in node.keeper.ops.values():
+    for op in node.provisioner.ops.values():
         if op.state is Op.UNKNOWN:
             awaited = "the cloud's answer to the same request, or a list taken well after"
             if op.key.startswith("c/") and not node.book.open:
@@ -147,7 +147,7 @@
     book = node.book
     if job.final is not None:
         return f"It is over: {job.final}."
-    if now - node.mirror.last_ok > STATE_S:
+    if now - node.watch_cache.last_ok > STATE_S:
         return "The state service does not answer, and nothing is started without it."
     if node.election.leader is None:
         since_s = node.troubles.since("leader", now)
@@ -190,7 +190,7 @@
     if used + job.cores > team.most_cores + 1e-6:
         return f"{head}: team {team.name} uses {used:g} of its limit of {team.cpus_max:g} cores."
     free, surplus = node.view.slots()
-    want = node.view.want(job)
+    want = node.view.request(job)
     allowed = [s for s in [*free.values(), *surplus] if s.allowed(want)]
     fitting = [s for s in allowed if s.fits(want)]
     zone_left = zone_room(want)
@@ -204,13 +204,15 @@
     refused = [
         f"{book.names.types.name(kind)} {'spot' if spot else 'ordinary'} in"
         f" {book.names.zones.name(zone)}"
-        for kind, zone, spot, _ in node.keeper.refusals.listed(now)
+        for kind, zone, spot, _ in node.provisioner.refusals.listed(now)
     ]
     tail = f"; the cloud has no more {', '.join(refused)}" if refused else ""
-    deaf = sum(bool(m.deaf) and m.health is Health.UP for m in node.fleet.machines.values())
+    deaf = sum(
+        bool(m.not_receiving) and m.health is Health.UP for m in node.fleet.machines.values()
+    )
     if deaf:
         tail += f"; {deaf} machines report but do not hear us"
-    late = node.keeper.late_boots(now)
+    late = node.provisioner.late_boots(now)
     if late:
         tail += f"; {late} are late in booting"
     if not node.view.has_goals(job):
--- a/petrelthread/controller.py
+++ b/petrelthread/controller.py
@@ -14,21 +14,21 @@
 from petrelthread.admin.api import PREFIX as ADMIN_PREFIX
 from petrelthread.admin.options import rental_options
 from petrelthread.admin.troubles import Troubles, now_wrong
-from petrelthread.awake import Awake
 from petrelthread.fleet import Dispatch, Fleet, ZoneWatch
 from petrelthread.http import Response, answer
 from petrelthread.http.server import refusal
 from petrelthread.intake import Intake
 from petrelthread.leadership import ACTING, Election, Role
 from petrelthread.ledger import Book, Claims, NamesBook, Outcome
-from petrelthread.peers import Gossip, Hello
-from petrelthread.peers.gossip import HELLO_PATH
-from petrelthread.placement.rounds import Rounds
+from petrelthread.pause_detector import PauseDetector
+from petrelthread.peers import Heartbeat, Heartbeats
+from petrelthread.peers.heartbeat import HEARTBEAT_PATH
+from petrelthread.placement.scheduler import Scheduler
 from petrelthread.placement.view import Estimates, View
 from petrelthread.rental import CloudClient, Options
-from petrelthread.rental.keeper import Keeper
+from petrelthread.rental.provisioner import Provisioner
 from petrelthread.settings import Settings
-from petrelthread.store import ROOT, Budget, Mirror, Request, Shares, StateClient, WriteRates
+from petrelthread.store import ROOT, Budget, Request, Shares, StateClient, WatchCache, WriteRates
 
 log = logging.getLogger(__name__)
 
@@ -40,7 +40,7 @@
 READY_S = 3.0
 LOAD_EVERY_S = 5.0
 SILENCE_EVERY_S = 0.5
-GREET_S = 15.0  # after its election a leader reads workers that do not come by themselves
+READ_WORKERS_S = 15.0  # after its election a leader reads workers that do not come by themselves
 COMMANDS_AT_ONCE = 24
 # The leader stores the catalogue for all. When each controller asked the cloud itself at the start,
 # that took most of the burst of calls that the first rentals needed.
@@ -73,12 +73,12 @@
         self.book = Book(names)
         state = StateClient(request, settings.endpoints.state, self._reads, self._writes)
         self.state = state
-        self.mirror = Mirror(state, self._on_key, gap_s=0.15)
+        self.watch_cache = WatchCache(state, self._on_key, gap_s=0.15)
         hold_over_s = settings.hold_over_s
         self.election = Election(
             settings.host_name,
             state,
-            self.mirror,
+            self.watch_cache,
             hold_over_s,
             randomness,
             self._on_elected,
@@ -88,56 +88,56 @@
         claims = Claims(state, self.election.fence)
         self._claims = claims
         estimates = Estimates()
-        self.view = View(settings, self.book, self.fleet, lambda: self.keeper.hulls, estimates)
+        self.view = View(settings, self.book, self.fleet, lambda: self.provisioner.hulls, estimates)
         self.dispatch = Dispatch(self.fleet, commands or request, commands_at_once)
         self.dispatch.may_start = lambda: self.election.starting
-        self.rounds = Rounds(
+        self.scheduler = Scheduler(
             settings,
             self.book,
             self.fleet,
             claims,
             self.dispatch,
             self.view,
-            self.mirror.fresh,
+            self.watch_cache.fresh,
             lambda now: self._writes.spare(now, CLEAN_UP_KEEPS),
         )
         cloud_rate = cluster.cloud.rps * 0.85
         cloud = CloudClient(request, settings.endpoints.cloud, Budget(cloud_rate, 2 * cloud_rate))
         self.options = Options()
         self.zone_watch = ZoneWatch(workers.report_s)
-        self.keeper = Keeper(
+        self.provisioner = Provisioner(
             settings,
             self.book,
             self.fleet,
             claims,
             cloud,
-            self.rounds,
+            self.scheduler,
             self.view,
             lambda: self.options,
             lambda: self.election.leading,
             self.zone_watch.down,
         )
-        self.fleet.on_change = self.rounds.wake.set
-        self.fleet.on_lost = self.keeper.wake.set
+        self.fleet.on_change = self.scheduler.wake.set
+        self.fleet.on_lost = self.provisioner.wake.set
         self.fleet.on_class_time = estimates.learn
         self.fleet.cache_gb = self._cache_gb
-        self.intake = Intake(settings, self.book, self.mirror, state, self.keeper.catalog)
-        self.gossip = Gossip(
+        self.intake = Intake(settings, self.book, self.watch_cache, state, self.provisioner.catalog)
+        self.heartbeats = Heartbeats(
             settings.siblings,
             request,
-            self._hello,
-            self._on_hello,
+            self._heartbeat,
+            self._on_heartbeat,
             self._lend,
             self.shares.took,
         )
-        self.awake = Awake(self._on_still)
+        self.pause_detector = PauseDetector(self._on_still)
         self.troubles = Troubles()
         self.admin = Admin(self, request)
         self._reports: list[float] = []
         self._silent_s = 2.5 * workers.report_s + 4.0
 
     def _cache_gb(self, kind: int) -> float:
-        hull = self.keeper.hulls.get(kind)
+        hull = self.provisioner.hulls.get(kind)
         return hull.local_gb if hull else 1e9
 
     # ---- what the state service shows ----------------------------------------------------------
@@ -148,7 +148,7 @@
             return
         if key == "catalog" and value is not None:
             try:
-                self.keeper.set_catalog(msgspec.convert(value, wire.Catalog))
+                self.provisioner.set_catalog(msgspec.convert(value, wire.Catalog))
             except msgspec.ValidationError as error:
                 log.warning("stored catalogue unusable: %s", error)
         before = len(self.book.jobs)
@@ -167,17 +167,17 @@
         if kind == "j" and len(self.book.jobs) > before and leading:
             job = self.book.jobs[-1]
             now = asyncio.get_running_loop().time()
-            self.keeper.note_accepted(job, now)
-            self.rounds.wake.set()
-            self.keeper.wake.set()
+            self.provisioner.note_accepted(job, now)
+            self.scheduler.wake.set()
+            self.provisioner.wake.set()
         elif kind == "f" and leading:
-            self.rounds.wake.set()
+            self.scheduler.wake.set()
 
     def _apply_options(self, stored: dict[str, Any]) -> None:
         values = with_defaults(stored)
         self.options = rental_options(values)
-        self.rounds.gap_s = values["round_gap_s"]
-        self.rounds.budget_s = values["round_budget_s"]
+        self.scheduler.gap_s = values["round_gap_s"]
+        self.scheduler.budget_s = values["round_budget_s"]
         log.info("operators' settings: %s", stored or "all at their defaults")
 
     # ---- leadership ------------------------------------------------------------------------------
@@ -185,18 +185,18 @@
     def _on_role(self, role: Role) -> None:
         acting = role in ACTING
         self._set_write_rate(asyncio.get_running_loop().time())
-        self.mirror.gap_s = 0.03 if acting else 0.15
+        self.watch_cache.gap_s = 0.03 if acting else 0.15
         if role is Role.LEADING:
             # At once: until the catalogue is read, the first users are sent away for a second.
-            self.keeper.wake.set()
-            self.rounds.wake.set()
+            self.provisioner.wake.set()
+            self.scheduler.wake.set()
 
     async def _on_elected(self) -> None:
         now = asyncio.get_running_loop().time()
         epoch = self.election.epoch
         self.fleet.take_over(epoch, now, self.book.recorded_machines())
-        self.rounds.take_over(epoch)
-        self.keeper.take_over(now)
+        self.scheduler.take_over(epoch)
+        self.provisioner.take_over(now)
         self.zone_watch.clear()
         self._reports.clear()
         unknown = sum(len(there) for there in self.book.on_machine.values())
@@ -205,37 +205,37 @@
             epoch,
             len(self.book.open),
             unknown,
-            len(self.keeper.ops),
+            len(self.provisioner.ops),
         )
-        self.rounds.wake.set()
+        self.scheduler.wake.set()
 
     def _on_still(self, stood_s: float, now: float) -> None:
         """Judge anew what may be older than it looks."""
         self.election.woke()
-        self.fleet.awake_at = now
-        self.gossip.heard.clear()
+        self.fleet.resumed_at = now
+        self.heartbeats.heard.clear()
         self._reports.clear()
 
-    def _hello(self) -> Hello:
+    def _heartbeat(self) -> Heartbeat:
         now = asyncio.get_running_loop().time()
-        return Hello(
+        return Heartbeat(
             self.settings.host_name,
             self.election.known_epoch,
             self.election.leading,
-            now - self.mirror.last_ok < READY_S,
+            now - self.watch_cache.last_ok < READY_S,
             self._recent_reports(now),
             self.settings.zone,
             asks=self.shares.base if self._writes.short(now) and self._may_ask(now) else 0.0,
         )
 
-    def _on_hello(self, hello: Hello) -> None:
-        self.election.saw_epoch(hello.epoch)
+    def _on_heartbeat(self, heartbeat: Heartbeat) -> None:
+        self.election.saw_epoch(heartbeat.epoch)
 
-    def _lend(self, hello: Hello) -> float:
+    def _lend(self, heartbeat: Heartbeat) -> float:
         now = asyncio.get_running_loop().time()
         # Only who has not written for a while lends.
-        asks = hello.asks if self._writes.full(now) else 0.0
-        amount = self.shares.lend(hello.node, asks, self._writes_of_late, now)
+        asks = heartbeat.asks if self._writes.full(now) else 0.0
+        amount = self.shares.lend(heartbeat.node, asks, self._writes_of_late, now)
         self._set_write_rate(now)
         return amount
 
@@ -261,7 +261,7 @@
 
     def _set_write_rate(self, now: float) -> None:
         self._learn_write_limit()
-        unheard = len(self.settings.siblings) - len(self.gossip.fresh(UNHEARD_S))
+        unheard = len(self.settings.siblings) - len(self.heartbeats.fresh(UNHEARD_S))
         if self.election.role not in ACTING or not self._may_ask(now):
             unheard = 0
         rates = self._write_rates
@@ -281,7 +281,7 @@
     # ---- requests --------------------------------------------------------------------------------
 
     async def handle(self, method: str, target: str, body: bytes) -> Response:
-        self.awake.look(asyncio.get_running_loop().time())
+        self.pause_detector.look(asyncio.get_running_loop().time())
         path = target.partition("?")[0]
         if path == wire.CHECKIN_PATH:
             return self._checkin(body) if method == "POST" else refusal(405, "use POST")
@@ -292,22 +292,22 @@
         return refusal(404, "no such path")
 
     async def handle_peer(self, method: str, target: str, body: bytes) -> Response:
-        self.awake.look(asyncio.get_running_loop().time())
+        self.pause_detector.look(asyncio.get_running_loop().time())
         path = target.partition("?")[0]
-        if path == HELLO_PATH:
-            return await self.gossip.handle(method, body)
+        if path == HEARTBEAT_PATH:
+            return await self.heartbeats.handle(method, body)
         if path.startswith(ADMIN_PREFIX):
             return await self.admin.handle(method, target, body)
         return refusal(404, "no such path")
 
     def _ready(self) -> Response:
         now = asyncio.get_running_loop().time()
-        if not self.mirror.loaded.is_set():
+        if not self.watch_cache.loaded.is_set():
             return refusal(503, "still starting", 1)
         # Refused by the state service alone, others serve better. If it is down for all, to leave
         # would only add the way back to the outage.
-        alone = any(hello.state_ok for hello in self.gossip.fresh(3.0))
-        if alone and now - self.mirror.last_ok > READY_S:
+        alone = any(heartbeat.state_ok for heartbeat in self.heartbeats.fresh(3.0))
+        if alone and now - self.watch_cache.last_ok > READY_S:
             return refusal(503, "state service unreachable", 1)
         return answer(200, {"ready": True})
 
@@ -342,16 +342,16 @@
     async def run(self) -> None:
         self._started_at = asyncio.get_running_loop().time()
         await asyncio.gather(
-            self.mirror.follow(),
+            self.watch_cache.follow(),
             self.election.run(),
-            self.gossip.run(),
+            self.heartbeats.run(),
             self._round_loop(),
-            self._keeper_loop(),
+            self._provisioning_loop(),
             self._housekeeping(),
         )
 
     async def _round_loop(self) -> None:
-        wake = self.rounds.wake
+        wake = self.scheduler.wake
         silence_at = 0.0
         while True:
             try:
@@ -360,7 +360,7 @@
             except TimeoutError:
                 pass
             wake.clear()
-            self.awake.look(asyncio.get_running_loop().time())
+            self.pause_detector.look(asyncio.get_running_loop().time())
             if not self.election.leading:
                 await asyncio.sleep(0.05)
                 continue
@@ -370,38 +370,38 @@
                     silence_at = now
                     self.fleet.tick_silence(now, self._silent_s)
                     self.dispatch.probe(now)
-                if await self.rounds.round(now):
+                if await self.scheduler.round(now):
                     wake.set()
             except Exception:
                 log.exception("round failed")
-            await asyncio.sleep(self.rounds.gap_s)
+            await asyncio.sleep(self.scheduler.gap_s)
 
-    async def _keeper_loop(self) -> None:
+    async def _provisioning_loop(self) -> None:
         started = asyncio.get_running_loop().time()
         while True:
             try:
                 async with asyncio.timeout(1.0):
-                    await self.keeper.wake.wait()
+                    await self.provisioner.wake.wait()
             except TimeoutError:
                 pass
-            self.keeper.wake.clear()
+            self.provisioner.wake.clear()
             now = asyncio.get_running_loop().time()
-            self.awake.look(now)
+            self.pause_detector.look(now)
             try:
                 if self.election.leading:
-                    await self.keeper.step(now)
+                    await self.provisioner.step(now)
                     await self._store_catalog()
-                elif not self.keeper.hulls and now - started > CATALOG_OWN_S:
-                    await self.keeper.read_catalog(now)
+                elif not self.provisioner.hulls and now - started > CATALOG_OWN_S:
+                    await self.provisioner.read_catalog(now)
             except Exception:
                 log.exception("rental step failed")
             await asyncio.sleep(0.5)
 
     async def _store_catalog(self) -> None:
         """So that a controller started while the cloud is down still knows the machine types."""
-        if self.book.catalog is not None or not self.keeper.hulls:
+        if self.book.catalog is not None or not self.provisioner.hulls:
             return
-        value = msgspec.to_builtins(wire.Catalog(self.keeper.catalog() or ()))
+        value = msgspec.to_builtins(wire.Catalog(self.provisioner.catalog() or ()))
         if len(msgspec.json.encode(value)) > self.settings.cluster.state.value_kb * 1000:
             return
         outcome, _ = await self._claims.claim([wire.put(ROOT + "catalog", value)], "catalog")
@@ -416,7 +416,7 @@
             asked = loop.time()
             await asyncio.sleep(0.5)
             now = loop.time()
-            self.awake.look(now)
+            self.pause_detector.look(now)
             self.troubles.update(now_wrong(self, now), now)
             late_s = max(late_s, now - asked - 0.5)
             lately = (self._writes.taken - taken) / max(now - asked, 0.1)
@@ -427,20 +427,20 @@
                 if self.election.leading and log.isEnabledFor(logging.DEBUG):
                     log.debug("load: %s; late by %.2f s at most", self.view.load(), late_s)
                 late_s, told_at = 0.0, now
-            if self.mirror.loaded.is_set() and now - self.mirror.last_ok > 1.0:
-                await self.mirror.fresh()
+            if self.watch_cache.loaded.is_set() and now - self.watch_cache.last_ok > 1.0:
+                await self.watch_cache.fresh()
             await self._judge_hearing(now)
             if self.election.leading:
                 self._judge_zones(now)
-                if now - self.election.elected_at < GREET_S:
-                    self.dispatch.greet(now)
+                if now - self.election.elected_at < READ_WORKERS_S:
+                    self.dispatch.read_workers(now)
 
     def _judge_zones(self, now: float) -> None:
         """Say plainly when a zone falls over, and when it is back."""
         names = self.book.names.zones
         nodes = {names.index(zone): heard for zone, heard in self._zones_heard().items()}
         machines = self.fleet.machines.values()
-        begun = max(self.election.elected_at, self.awake.since)
+        begun = max(self.election.elected_at, self.pause_detector.since)
         fallen, back = self.zone_watch.judge(machines, nodes, begun, now)
         for zone in sorted(fallen):
             log.warning("zone %s is cut off: nothing in it is heard", names.name(zone))
@@ -449,7 +449,7 @@
 
     def _zones_heard(self) -> dict[str, bool]:
         """For each zone with controllers, whether one of them was heard lately."""
-        fresh = {hello.node for hello in self.gossip.fresh(3.0)}
+        fresh = {heartbeat.node for heartbeat in self.heartbeats.fresh(3.0)}
         heard = {self.settings.zone: True} if self.settings.zone else {}
         for sibling in self.settings.siblings:
             if sibling.zone:
@@ -460,10 +460,13 @@
         """A leader that no worker reaches, while its siblings hear them, gives the lead away."""
         election = self.election
         window = 2 * self.settings.cluster.workers.report_s
-        if not election.leading or now - max(election.elected_at, self.awake.since) < window + 4.0:
+        if (
+            not election.leading
+            or now - max(election.elected_at, self.pause_detector.since) < window + 4.0
+        ):
             return
         if self._recent_reports(now) == 0:
-            heard = sum(hello.workers for hello in self.gossip.fresh(3.0))
+            heard = sum(heartbeat.workers for heartbeat in self.heartbeats.fresh(3.0))
             if heard >= 2:
                 log.info("no worker reaches this node, siblings hear %d reports", heard)
                 await election.resign("workers do not reach this node", ABSTAIN_S)
--- a/petrelthread/fleet/dispatch.py
+++ b/petrelthread/fleet/dispatch.py
@@ -43,17 +43,17 @@
             if machine.newest_at >= machine.unanswered_at:
                 asyncio.create_task(self._send(machine, starting, stopping, self._fleet.epoch))
 
-    def greet(self, now: float) -> None:
+    def read_workers(self, now: float) -> None:
         """Read workers after a take-over (DESIGN: "re-reads its view of workers").
 
         Those whose controller hangs find us only 5 s and more later, and until they have heard us
         nothing may be placed on them.
         """
-        for machine in self._fleet.to_greet(now):
-            machine.greeted_at = now
-            asyncio.create_task(self._greet(machine, self._fleet.epoch))
+        for machine in self._fleet.unread_machines(now):
+            machine.read_asked_at = now
+            asyncio.create_task(self._read_worker(machine, self._fleet.epoch))
 
-    async def _greet(self, machine: Machine, token: int) -> None:
+    async def _read_worker(self, machine: Machine, token: int) -> None:
         fleet = self._fleet
         async with self._room:
             if fleet.epoch != token or machine.epoch_heard == token:
@@ -107,7 +107,7 @@
                 if may_start
                 and a.state is Op.DISPATCHING
                 and a.session == session
-                and not a.told
+                and not a.start_delivered
                 and not a.job.final
             ]
             orders: list[dict[str, Any]] = [
@@ -127,7 +127,7 @@
                 machine.unanswered_at = asyncio.get_running_loop().time()
                 if error.sent:
                     for a in going:
-                        machine.unsure[a.job.index, a.task, a.number] = token
+                        machine.uncertain_starts[a.job.index, a.task, a.number] = token
                         if a.state is Op.DISPATCHING:
                             move(a, Op.UNKNOWN)
             finally:
--- a/petrelthread/fleet/machine.py
+++ b/petrelthread/fleet/machine.py
@@ -29,12 +29,9 @@
         "addr",
         "answered_at",
         "answering_since",
-        "charter",
-        "deaf",
         "epoch_answered",
         "epoch_heard",
         "fault",
-        "greeted_at",
         "health",
         "heard_at",
         "idle_since",
@@ -43,14 +40,19 @@
         "images",
         "index",
         "known_at",
+        "lease_losses",
+        "lease_lost_at",
         "listed",
         "missing",
         "name",
         "newest_at",
+        "not_receiving",
         "notice_at",
         "notice_s",
         "probes_lost",
         "probing",
+        "read_asked_at",
+        "rental_key",
         "rented_at",
         "retiring",
         "seen_token",
@@ -58,12 +60,10 @@
         "session",
         "session_at",
         "spot",
-        "strike_at",
-        "strikes",
         "tick",
         "type",
         "unanswered_at",
-        "unsure",
+        "uncertain_starts",
         "zone",
     )
 
@@ -83,16 +83,16 @@
         # takes nothing from an older leader any more.
         self.epoch_heard = 0
         self.epoch_answered = 0  # in which a report of it was last answered
-        self.greeted_at = float("-inf")  # when the leader last tried to read it by itself
+        self.read_asked_at = float("-inf")  # when the leader last tried to read it by itself
         self.heard_at = now  # when it last did so
         self.newest_at = now  # when its newest message came
         self.answered_at = 0.0  # last instant at which an answer of ours may have renewed its lease
         self.answering_since = now  # no long gap between answered reports since then
         self.ignored = 0  # reports in a row that lacked a start told in an earlier answer
         self.ignored_since = 0.0
-        self.strikes = 0  # times that its lease ended although its reports were answered
-        self.strike_at = 0.0
-        self.deaf = ""  # why it seems not to hear us, though its reports arrive
+        self.lease_losses = 0  # times that its lease ended although its reports were answered
+        self.lease_lost_at = 0.0
+        self.not_receiving = ""  # why it seems not to hear us, though its reports arrive
         self.known_at = now
         self.rented_at = now
         self.idle_since = now
@@ -100,13 +100,13 @@
         self.notice_at = 0.0
         self.listed = False
         self.missing = 0  # lists in a row without it, since it was listed
-        self.charter = ""
+        self.rental_key = ""
         self.probes_lost = 0  # in a row, of those sent because a report is overdue
         self.probing = False
         self.sending = 0  # direct commands now under way
         self.unanswered_at = 0.0  # when a direct command was last given up
         # Attempts that an unanswered direct command may still start, with its token.
-        self.unsure: dict[tuple[int, int, int], int] = {}
+        self.uncertain_starts: dict[tuple[int, int, int], int] = {}
         self.images: dict[int, float] = {}  # cached images in order of last use, with their size
         self.fault = ""
         self.retiring = False  # surplus: gets nothing new as long as that lasts
@@ -121,7 +121,7 @@
     @property
     def open(self) -> bool:
         """May be given work."""
-        return self.health is Health.UP and not self.fault and not self.deaf
+        return self.health is Health.UP and not self.fault and not self.not_receiving
 
     def use_image(self, image: int, size_gb: float, cache_gb: float) -> None:
         self.images.pop(image, None)
--- a/petrelthread/fleet/table.py
+++ b/petrelthread/fleet/table.py
@@ -9,12 +9,12 @@
 from petrelthread import wire
 from petrelthread.fleet.failures import SUSPECT_ON, Failures, Trust
 from petrelthread.fleet.machine import Health, Machine
-from petrelthread.ledger import Attempt, Book, Job, Op, move
+from petrelthread.ledger import FINISHED, PENDING, Attempt, Book, Job, Op, move
 
 log = logging.getLogger(__name__)
 
 DRIFT = 1.002
-GREET_AGAIN_S = 4.0
+READ_AGAIN_S = 4.0
 OVERDUE_S = 0.75  # that a report may take on its way
 PROBES_MOST = 2  # unanswered in a row: then its replicas are needed elsewhere
 BEFORE_RUNNING = ("", wire.FETCHING, wire.GATHERING)
@@ -38,7 +38,7 @@
         self.finished: dict[int, set[int]] = {}  # done, not yet durable: job to tasks
         self.epoch = 0
         self.elected_at = 0.0
-        self.awake_at = float("-inf")  # since when this process has not stood still
+        self.resumed_at = float("-inf")  # since when this process has not stood still
         self.on_change: Callable[[], None] = lambda: None
         self.on_lost: Callable[[], None] = lambda: None  # a machine with replicas has to go back
         self.on_class_time: Callable[[Job, float], None] = lambda job, ran_s: None
@@ -62,7 +62,9 @@
 
     def may_serve(self, machine: Machine) -> bool:
         """May be given work: it has heard us in this epoch, or was rented in it."""
-        ours = machine.epoch_heard == self.epoch or machine.charter.startswith(f"c/{self.epoch}-")
+        ours = machine.epoch_heard == self.epoch or machine.rental_key.startswith(
+            f"c/{self.epoch}-"
+        )
         return machine.open and ours
 
     def take_over(self, epoch: int, now: float, recorded: Collection[str] = ()) -> None:
@@ -122,7 +124,7 @@
         gone = list(self.attempts(machine).values())
         for attempt in gone:
             self._over(attempt, why)
-        machine.unsure.clear()
+        machine.uncertain_starts.clear()
         return len(gone)
 
     def _over(self, attempt: Attempt, why: str) -> None:
@@ -140,7 +142,7 @@
     def _keep_progress(self, attempt: Attempt, stopped: bool) -> None:
         """What checkpoints keep of the attempt: only the rest of the task is still to run."""
         job, machine = attempt.job, self.machines.get(attempt.machine)
-        if job.mark_s <= 0 or not attempt.running_at or machine is None:
+        if job.checkpoint_interval_s <= 0 or not attempt.running_at or machine is None:
             return
         ran_s = machine.newest_at - attempt.running_at
         kept_s = ran_s if stopped else ran_s - job.lost_s(ran_s, stopped=False)
@@ -148,7 +150,7 @@
             job.progress[attempt.task] = job.progress.get(attempt.task, 0.0) + kept_s
         attempt.running_at = 0.0  # counted
 
-    def to_greet(self, now: float) -> list[Machine]:
+    def unread_machines(self, now: float) -> list[Machine]:
         """What may be up, and has not heard this leader: those with work first."""
         out = [
             machine
@@ -156,8 +158,8 @@
             if machine.addr
             and machine.epoch_heard != self.epoch
             and machine.health not in (Health.GONE, Health.RETURNING)
-            and now - machine.greeted_at > GREET_AGAIN_S
-            and not machine.charter.startswith(f"c/{self.epoch}-")
+            and now - machine.read_asked_at > READ_AGAIN_S
+            and not machine.rental_key.startswith(f"c/{self.epoch}-")
         ]
         return sorted(out, key=lambda machine: machine.index not in self.book.on_machine)
 
@@ -180,7 +182,7 @@
         were well and its sibling heard them."""
         latest_s = 1.25 * self.report_s + OVERDUE_S
         up = [m for m in self.machines.values() if m.health is Health.UP]
-        late = [m for m in up if now - max(m.heard_at, self.awake_at) > latest_s]
+        late = [m for m in up if now - max(m.heard_at, self.resumed_at) > latest_s]
         if len(late) > max(2, len(up) / 2):
             return []
         return [m for m in late if m.epoch_answered == self.epoch]
@@ -243,11 +245,11 @@
             machine.zone = names.zones.index(report.roost)
         machine.spot = report.driftwood
         self._health(machine, report, now, answered)
-        for key, token in list(machine.unsure.items()):
+        for key, token in list(machine.uncertain_starts.items()):
             if machine.seen_token > token:
-                del machine.unsure[key]
+                del machine.uncertain_starts[key]
         self._tasks(machine, report, now)
-        self._judge_deaf(machine, now)
+        self._judge_receiving(machine, now)
         return machine
 
     def _answering(self, machine: Machine, now: float) -> None:
@@ -259,29 +261,31 @@
         heard = machine.epoch_heard == self.epoch
         if heard and now - machine.answering_since > self.lease_s * DRIFT + 0.5:
             # Its lease ended although every report was answered: our answers do not arrive.
-            machine.strikes = machine.strikes + 1 if self._struck(machine, now) else 1
-            machine.strike_at = now
+            machine.lease_losses = (
+                machine.lease_losses + 1 if self._lost_lease_lately(machine, now) else 1
+            )
+            machine.lease_lost_at = now
             log.info("machine %s: its lease ended though we answer it", machine.name)
         for attempt in list(self.attempts(machine).values()):
             if attempt.session < session:
                 self._over(attempt, f"{machine.name} began session {session}")
-        machine.unsure.clear()
+        machine.uncertain_starts.clear()
         machine.images.clear()
 
-    def _struck(self, machine: Machine, now: float) -> bool:
-        return machine.strikes > 0 and now - machine.strike_at < 1.5 * self.lease_s
+    def _lost_lease_lately(self, machine: Machine, now: float) -> bool:
+        return machine.lease_losses > 0 and now - machine.lease_lost_at < 1.5 * self.lease_s
 
-    def _judge_deaf(self, machine: Machine, now: float) -> None:
+    def _judge_receiving(self, machine: Machine, now: float) -> None:
         """Its reports arrive; do our answers and commands? Such a machine looks alive and idle, and
         would draw one task after the other."""
-        before = machine.deaf
-        machine.deaf = ""
+        before = machine.not_receiving
+        machine.not_receiving = ""
         if machine.ignored >= IGNORED_MOST:
-            machine.deaf = "it does not carry out what it is told"
-        elif self._struck(machine, now):
-            machine.deaf = "its lease ended though its reports were answered"
-        if bool(machine.deaf) != bool(before):
-            log.info("machine %s %s", machine.name, machine.deaf or "hears us again")
+            machine.not_receiving = "it does not carry out what it is told"
+        elif self._lost_lease_lately(machine, now):
+            machine.not_receiving = "its lease ended though its reports were answered"
+        if bool(machine.not_receiving) != bool(before):
+            log.info("machine %s %s", machine.name, machine.not_receiving or "hears us again")
 
     def _health(self, machine: Machine, report: wire.Report, now: float, answered: bool) -> None:
         heard = machine.epoch_heard == self.epoch and answered
@@ -333,7 +337,7 @@
                 self._completed(machine, job, task)
                 self._finish(job, task)
             return
-        if job.final is None and job.states[task] == 0:
+        if job.final is None and job.states[task] == PENDING:
             # It is there, whatever the records say: count it, so that nobody starts it elsewhere.
             log.info("machine %s runs %s/%d unrecorded: kept", machine.name, job.id, task)
             attempt = self.book.add_attempt(leg.try_, job, task, machine.index, report.flight)
@@ -341,7 +345,7 @@
             self._shown(machine, attempt, leg, now)
 
     def _finish(self, job: Job, task: int) -> None:
-        if job.final is None and job.states[task] != 2:
+        if job.final is None and job.states[task] != FINISHED:
             # A set: to look each task up in a list took minutes with an array of 25,000.
             tasks = self.finished.setdefault(job.index, set())
             if task not in tasks:
@@ -355,9 +359,9 @@
             if attempt.number >> 20 == self.epoch:
                 machine.ignored = 0
         before = self.book.show(attempt, leg.status)
-        if job.service and leg.status == wire.RUNNING and not attempt.proved:
-            attempt.proved = 0 < attempt.running_at < now - REPLICA_PROVES_S
-            if attempt.proved:
+        if job.service and leg.status == wire.RUNNING and not attempt.proven_stable:
+            attempt.proven_stable = 0 < attempt.running_at < now - REPLICA_PROVES_S
+            if attempt.proven_stable:
                 self._completed(machine, job, attempt.task)
         if leg.status in (wire.RUNNING, wire.FLUSHING) and before in BEFORE_RUNNING:
             attempt.running_at = now
@@ -456,7 +460,7 @@
     ) -> None:
         """A report newer than all we know does not list the attempt."""
         key = (attempt.job.index, attempt.task, attempt.number)
-        if machine.sending or key in machine.unsure:
+        if machine.sending or key in machine.uncertain_starts:
             return  # a direct command may be on its way; resent or settled later
         if attempt.state is Op.CONFIRMED:
             if not attempt.ended:
@@ -519,12 +523,12 @@
             if attempt.number >> 20 != self.epoch:
                 continue
             if self.unwanted(attempt) or attempt.halted_at:
-                if (*key, attempt.number) not in machine.unsure:
+                if (*key, attempt.number) not in machine.uncertain_starts:
                     self._over(attempt, "never shown, no longer wanted")
                 continue
             out.append(wire.launch(attempt.job.id, attempt.task, attempt.number))
-            again = again or attempt.told
-            attempt.told = True
+            again = again or attempt.start_delivered
+            attempt.start_delivered = True
         if again:
             if not machine.ignored:
                 machine.ignored_since = now
@@ -536,11 +540,11 @@
     ) -> bool:
         if job is None:
             return False  # the book may lag; a job that never was does not reach a worker
-        if (job.index, task, leg.try_) in machine.unsure:
+        if (job.index, task, leg.try_) in machine.uncertain_starts:
             return False  # a late direct command would start it again
         if leg.cause == wire.CAUSE_DONE and not job.service:
             # Forgotten only once it is durable.
-            return job.final is not None or job.states[task] == 2
+            return job.final is not None or job.states[task] == FINISHED
         return not ours
 
     # ---- time ------------------------------------------------------------------------------
@@ -551,19 +555,19 @@
             if self.book.jobs[job].final is not None:
                 self.failures.over(job)
         # If most seem deaf, it is rather our own voice that does not carry.
-        many = 2 * sum(bool(m.deaf) for m in up) > max(2, len(up))
+        many = 2 * sum(bool(m.not_receiving) for m in up) > max(2, len(up))
         for machine in list(self.machines.values()):
             if machine.health in (Health.UP, Health.DRAINING):
                 grace = silent_s
                 if machine.epoch_answered != self.epoch:
                     grace += 4.0  # it may be with a controller that is gone, and looks for us
                 # Nothing was heard while we stood still: once, every machine was silent at once.
-                if now - max(machine.heard_at, self.awake_at) > grace:
+                if now - max(machine.heard_at, self.resumed_at) > grace:
                     log.info("machine %s is silent", machine.name)
                     machine.move(Health.SILENT)
-                elif machine.deaf and not many and not machine.fault:
+                elif machine.not_receiving and not many and not machine.fault:
                     ignored_s = now - machine.ignored_since if machine.ignored else 0.0
-                    if machine.strikes > 1 or ignored_s > self.lease_s / 2:
-                        machine.fault = machine.deaf
+                    if machine.lease_losses > 1 or ignored_s > self.lease_s / 2:
+                        machine.fault = machine.not_receiving
             if self.attempts(machine) and now > self.gone_at(machine):
                 self.lost(machine, f"lease of {machine.name} has run out")
--- a/petrelthread/fleet/test_table.py
+++ b/petrelthread/fleet/test_table.py
@@ -110,14 +110,14 @@
 def test_no_forget_while_a_direct_command_may_still_start_it() -> None:
     fleet = fleet_at(100.0)
     machine, attempt = started(fleet, (EPOCH << 20) + 1)
-    machine.unsure[0, 0, attempt.number] = EPOCH
+    machine.uncertain_starts[0, 0, attempt.number] = EPOCH
     stopped = report(1, EPOCH)
     stopped.legs.append(wire.Leg("wk-000001/0", attempt.number, "ended", "stopped"))
     fleet.on_report(stopped, 101.0, answered=True)
     assert not fleet.orders(machine, stopped, 101.0)
     later = report(2, EPOCH, session=2)  # a new session: the late command does not match any more
     fleet.on_report(later, 102.0, answered=True)
-    assert not machine.unsure
+    assert not machine.uncertain_starts
 
 
 def test_a_machine_that_ignores_starts_gets_no_more_of_them() -> None:
@@ -166,7 +166,7 @@
     for n in range(4):
         machine = fleet.machine(f"host-{n}", 100.0)
         machine.move(Health.UP)
-        machine.heard_at, machine.strikes, machine.deaf = 110.0, 2, "its lease ended"
+        machine.heard_at, machine.lease_losses, machine.not_receiving = 110.0, 2, "its lease ended"
     fleet.tick_silence(111.0, 5.0)
     assert not any(machine.fault for machine in fleet.machines.values())
 
@@ -177,7 +177,7 @@
     learned: list[float] = []
     fleet.on_class_time = lambda job, ran_s: learned.append(ran_s)
     job = fleet.book.jobs[0]
-    job.mark_s, job.grace_s = 30.0, 3.0
+    job.checkpoint_interval_s, job.grace_s = 30.0, 3.0
     assert job.lost_s(200.0, stopped=True) == 3.0
     assert job.lost_s(200.0, stopped=False) == 20.0
     _, first = started(fleet, (EPOCH << 20) + 1)
@@ -201,7 +201,7 @@
     fleet.on_report(done, 340.0, answered=True)
     assert learned == [pytest.approx(200.0)]
     assert not job.progress
-    job.mark_s = 0.0
+    job.checkpoint_interval_s = 0.0
     assert job.lost_s(200.0, stopped=True) == 200.0
 
 
@@ -220,7 +220,7 @@
     assert machine.health.value == "silent"
     # The end of a lease that no answer of ours could have renewed is no sign of deafness.
     fleet.on_report(report(1, EPOCH, session=2), 112.5, answered=True)
-    assert not machine.deaf
+    assert not machine.not_receiving
 
 
 def test_a_leader_that_led_before_forgets_machines_that_are_on_no_record() -> None:
--- a/petrelthread/intake/intake.py
+++ b/petrelthread/intake/intake.py
@@ -19,11 +19,11 @@
 from petrelthread.store import (
     ROOT,
     Conflict,
-    Mirror,
     NoSuchLease,
     StateBusy,
     StateClient,
     StateDown,
+    WatchCache,
 )
 from petrelthread.store import StateUnsure as Unsure
 
@@ -41,14 +41,14 @@
         self,
         settings: Settings,
         book: Book,
-        mirror: Mirror,
+        watch_cache: WatchCache,
         client: StateClient,
         hulls: Callable[[], tuple[wire.Hull, ...] | None],
     ) -> None:
         self._teams = {team.name: team for team in settings.cluster.teams}
         self._limits = settings.cluster.state
         self._book = book
-        self._mirror = mirror
+        self._watch_cache = watch_cache
         self._client = client
         self._hulls = hulls
         self._queue: list[tuple[wire.JobSpec, list[Any], asyncio.Future[int]]] = []
@@ -86,8 +86,8 @@
                 raise TooLarge("the description is too large to keep")
             check_runnable(spec, self._teams, self._hulls())
         except (TooLarge, CannotRun, NotYetKnown) as error:
-            # The mirror may lag behind: an accepted job must never be told that it cannot run.
-            if not await self._mirror.fresh():
+            # The watch cache may lag behind: an accepted job must never be told that it cannot run.
+            if not await self._watch_cache.fresh():
                 return refusal(503, "state service unreachable", OUTAGE_RETRY_S)
             if spec.name_id in self._book.by_id:
                 return await self._state_of(spec.name_id)
@@ -96,7 +96,7 @@
             if isinstance(error, NotYetKnown):
                 return refusal(503, str(error), RETRY_S)
             return refusal(422, str(error))
-        if not self._mirror.loaded.is_set():
+        if not self._watch_cache.loaded.is_set():
             return refusal(503, "still reading the state", RETRY_S)
         now = asyncio.get_running_loop().time()
         writes = self._client.writes
@@ -186,7 +186,7 @@
     async def _state_of(self, job_id: str) -> Response:
         job = self._book.by_id.get(job_id)
         if job is None or job.final is None:  # final states never change: no need to look again
-            if not await self._mirror.fresh():
+            if not await self._watch_cache.fresh():
                 return refusal(503, "state service unreachable", OUTAGE_RETRY_S)
             job = self._book.by_id.get(job_id)
         if job is None:
@@ -215,7 +215,7 @@
 
     async def _final_of(self, job: Job) -> Response:
         if job.final is None:
-            await self._mirror.fresh()
+            await self._watch_cache.fresh()
         if job.final is None:
             return refusal(503, "state service unreachable", OUTAGE_RETRY_S)
         return answer(200, wire.job_answer(job.id, job.status))
--- a/petrelthread/leadership/election.py
+++ b/petrelthread/leadership/election.py
@@ -13,11 +13,11 @@
 from petrelthread.store import (
     ROOT,
     Conflict,
-    Mirror,
     NoSuchLease,
     StateClient,
     StateDown,
     StateUnsure,
+    WatchCache,
 )
 
 log = logging.getLogger(__name__)
@@ -50,7 +50,7 @@
         self,
         node: str,
         client: StateClient,
-        mirror: Mirror,
+        watch_cache: WatchCache,
         hold_over_s: float,
         randomness: random.Random,
         on_elected: Callable[[], Awaitable[None]],
@@ -58,7 +58,7 @@
     ) -> None:
         self._node = node
         self._client = client
-        self._mirror = mirror
+        self._watch_cache = watch_cache
         self._hold_over_s = hold_over_s
         self._random = randomness
         self._on_elected = on_elected
@@ -106,7 +106,7 @@
     @property
     def starting(self) -> bool:
         """May tell workers to start something: it knows what was cancelled until a moment ago."""
-        return self.leading and self._now() < self._mirror.last_ok + LIFE_S
+        return self.leading and self._now() < self._watch_cache.last_ok + LIFE_S
 
     @property
     def home(self) -> str | None:
@@ -134,7 +134,7 @@
         watch may have stood still, or its answers been lost, while renewals went through. Whatever
         is not known here was cancelled after the newest complete read.
         """
-        return min(self._renewed_at, self._mirror.last_ok) + self._hold_over_s
+        return min(self._renewed_at, self._watch_cache.last_ok) + self._hold_over_s
 
     # ---- what others show --------------------------------------------------------------------
 
@@ -206,7 +206,7 @@
     async def _step(self) -> float:
         if self.role in ACTING:
             return await self._renew()
-        if not self._mirror.loaded.is_set() or self._now() < self.abstain_until:
+        if not self._watch_cache.loaded.is_set() or self._now() < self.abstain_until:
             return 0.2
         if self.leader is not None:
             stale = self.leader["node"] == self._node and self.leader["nonce"] != self._nonce
@@ -214,10 +214,10 @@
                 # An earlier life of this very node: it is dead, its lease need not run out.
                 log.info("leadership: ending the lease of an earlier life of this node")
                 await self._revoke(int(self.leader["lease"]))
-                await self._mirror.fresh()
+                await self._watch_cache.fresh()
             return 0.2
         await asyncio.sleep(self._random.uniform(0.0, 0.15))
-        if not await self._mirror.fresh() or self.leader is not None:
+        if not await self._watch_cache.fresh() or self.leader is not None:
             return 0.2
         await self._campaign()
         return 0.05
@@ -243,9 +243,9 @@
             return
         except StateUnsure:
             stamp = 0
-            if await self._mirror.fresh() and self.leader is not None:
+            if await self._watch_cache.fresh() and self.leader is not None:
                 mine = self.leader["nonce"] == self._nonce
-                stamp = self._mirror.stamps["lead"] if mine else 0
+                stamp = self._watch_cache.stamps["lead"] if mine else 0
             if not stamp:
                 # The transaction may come late. Without its lease it cannot be applied.
                 self._move(Role.FOLLOWER, "election unanswered")
@@ -267,7 +267,7 @@
 
     async def _take_over(self) -> None:
         while self.role is Role.TAKING_OVER:
-            if await self._mirror.fresh():
+            if await self._watch_cache.fresh():
                 break
             await asyncio.sleep(0.2)
         if self.role is Role.TAKING_OVER:
@@ -285,7 +285,7 @@
                 self._renewed_at = started
                 if self.role is Role.HOLDING_OVER and self._caught_up:
                     # What others wrote meanwhile has to be read before anything is commanded.
-                    if await self._mirror.fresh() and self.role is Role.HOLDING_OVER:
+                    if await self._watch_cache.fresh() and self.role is Role.HOLDING_OVER:
                         self._move(Role.LEADING, "lease renewed after all")
                 elif self.role is Role.HOLDING_OVER:
                     # The outage came in the middle of the take-over: it has to be done again.
--- a/petrelthread/ledger/book.py
+++ b/petrelthread/ledger/book.py
@@ -51,13 +51,13 @@
         "job",
         "machine",
         "number",
-        "proved",
+        "proven_stable",
         "running_at",
         "session",
+        "start_delivered",
         "state",
         "status",
         "task",
-        "told",
     )
 
     def __init__(
@@ -73,8 +73,8 @@
         self.at = 0.0
         self.running_at = 0.0
         self.halted_at = 0.0
-        self.proved = False  # a replica: it has run long enough to show that its job can
-        self.told = False  # its start has gone out with the answer to a report
+        self.proven_stable = False  # a replica: it has run long enough to show that its job can
+        self.start_delivered = False  # its start has gone out with the answer to a report
 
     @property
     def ended(self) -> bool:
@@ -86,32 +86,32 @@
         "accelerators",
         "accepted_at",
         "backoff_s",
+        "checkpoint_interval_s",
         "cores",
         "done",
         "done_records",
         "due_s",
+        "estimated_run_s",
         "failing",
         "final",
         "first_start_at",
         "gang",
         "grace_s",
-        "guess_s",
         "id",
         "image",
         "index",
         "jobclass",
         "last_start_at",
         "live",
-        "mark_s",
         "not_before",
         "progress",
         "ram_gb",
         "rank",
-        "same_place",
-        "scatter",
         "service",
+        "single_zone",
         "size_gb",
         "spot",
+        "spread_zones",
         "states",
         "stops",
         "suspect_since",
@@ -125,8 +125,8 @@
     accelerators: float
     ram_gb: float
     size_gb: float
-    guess_s: float
-    mark_s: float
+    estimated_run_s: float
+    checkpoint_interval_s: float
     grace_s: float
     due_s: float | None
     accepted_at: float
@@ -145,8 +145,8 @@
             types,
             zone,
             flags,
-            self.guess_s,
-            self.mark_s,
+            self.estimated_run_s,
+            self.checkpoint_interval_s,
             self.grace_s,
             self.due_s,
             self.accepted_at,
@@ -160,8 +160,8 @@
         self.image = names.images.index(image)
         self.types = None if types is None else frozenset(names.types.index(t) for t in types)
         self.zone = None if zone is None else names.zones.index(zone)
-        self.same_place = bool(flags & 1)
-        self.scatter = bool(flags & 2)
+        self.single_zone = bool(flags & 1)
+        self.spread_zones = bool(flags & 2)
         self.spot = bool(flags & 4)
         self.gang = bool(flags & 8)  # all tasks at once or none
         self.service = bool(flags & 16)  # runs until it is cancelled
@@ -206,9 +206,9 @@
 
     def lost_s(self, ran_s: float, stopped: bool) -> float:
         """What a task that ran so long loses when it is stopped, or with its machine."""
-        if self.mark_s <= 0:
+        if self.checkpoint_interval_s <= 0:
             return ran_s
-        return min(ran_s, self.grace_s) if stopped else ran_s % self.mark_s
+        return min(ran_s, self.grace_s) if stopped else ran_s % self.checkpoint_interval_s
 
     @property
     def pending(self) -> int:
--- a/petrelthread/awake.py
+++ b/petrelthread/pause_detector.py
@@ -14,7 +14,7 @@
 STILL_S = 2.0  # the housekeeping looks four times as often
 
 
-class Awake:
+class PauseDetector:
     """Looked at before anything is answered, sent or believed."""
 
     def __init__(self, on_still: Callable[[float, float], None]) -> None:
--- a/petrelthread/peers/__init__.py
+++ b/petrelthread/peers/__init__.py
@@ -1,5 +1,5 @@
 """What controllers tell one another: hints only. Nothing here is ever needed for safety."""
 
-from petrelthread.peers.gossip import Gossip, Hello
+from petrelthread.peers.heartbeat import Heartbeat, Heartbeats
 
-__all__ = ["Gossip", "Hello"]
+__all__ = ["Heartbeat", "Heartbeats"]
--- a/petrelthread/peers/gossip.py
+++ b/petrelthread/peers/heartbeat.py
@@ -16,11 +16,11 @@
 
 log = logging.getLogger(__name__)
 
-HELLO_PATH = "/peer/v1/hello"
+HEARTBEAT_PATH = "/peer/v1/hello"
 EVERY_S = 1.0
 
 
-class Hello(msgspec.Struct):
+class Heartbeat(msgspec.Struct):
     node: str
     epoch: int = 0
     leading: bool = False
@@ -32,63 +32,63 @@
 
 
 class Heard(msgspec.Struct):
-    hello: Hello
+    heartbeat: Heartbeat
     at: float
 
 
-class Gossip:
+class Heartbeats:
     def __init__(
         self,
         siblings: tuple[Sibling, ...],
         request: Request,
-        mine: Callable[[], Hello],
-        on_hello: Callable[[Hello], None],
-        lend: Callable[[Hello], float] = lambda hello: 0.0,
+        mine: Callable[[], Heartbeat],
+        on_hello: Callable[[Heartbeat], None],
+        lend: Callable[[Heartbeat], float] = lambda heartbeat: 0.0,
         took: Callable[[str, float, float], None] = lambda lender, amount, asked_at: None,
     ) -> None:
         self._siblings = siblings
         self._request = request
         self._mine = mine
-        self._on_hello = on_hello
+        self._on_heartbeat = on_hello
         self._lend = lend
         self._took = took
         self.heard: dict[str, Heard] = {}
         self.wake = asyncio.Event()
 
-    def take(self, hello: Hello) -> None:
-        self.heard[hello.node] = Heard(hello, asyncio.get_running_loop().time())
-        self._on_hello(hello)
+    def take(self, heartbeat: Heartbeat) -> None:
+        self.heard[heartbeat.node] = Heard(heartbeat, asyncio.get_running_loop().time())
+        self._on_heartbeat(heartbeat)
 
-    def fresh(self, within_s: float) -> list[Hello]:
+    def fresh(self, within_s: float) -> list[Heartbeat]:
         now = asyncio.get_running_loop().time()
-        return [h.hello for h in self.heard.values() if now - h.at <= within_s]
+        return [h.heartbeat for h in self.heard.values() if now - h.at <= within_s]
 
     async def handle(self, method: str, body: bytes) -> Response:
         if method != "POST":
             return refusal(405, "use POST")
         try:
-            hello = msgspec.convert(orjson.loads(body), Hello)
+            heartbeat = msgspec.convert(orjson.loads(body), Heartbeat)
         except (orjson.JSONDecodeError, msgspec.ValidationError) as error:
             return refusal(400, str(error))
-        self.take(hello)
-        mine = msgspec.structs.replace(self._mine(), lends=self._lend(hello))
+        self.take(heartbeat)
+        mine = msgspec.structs.replace(self._mine(), lends=self._lend(heartbeat))
         return answer(200, msgspec.to_builtins(mine))
 
     async def run(self) -> None:
-        await asyncio.gather(*(self._greet(sibling) for sibling in self._siblings))
+        await asyncio.gather(*(self._read_worker(sibling) for sibling in self._siblings))
 
-    async def _greet(self, sibling: Sibling) -> None:
+    async def _read_worker(self, sibling: Sibling) -> None:
         while True:
             body = msgspec.to_builtins(self._mine())
             asked_at = asyncio.get_running_loop().time()
             try:
                 reply = await self._request(
-                    sibling.peer_addr, "POST", HELLO_PATH, body, timeout=0.8
+                    sibling.peer_addr, "POST", HEARTBEAT_PATH, body, timeout=0.8
                 )
                 if reply.status == 200:
-                    hello = msgspec.convert(orjson.loads(reply.body), Hello)
-                    self.take(hello)
-                    self._took(hello.node, hello.lends, asked_at)
+                    heartbeat = msgspec.convert(orjson.loads(reply.body), Heartbeat)
+                    self.take(heartbeat)
+                    self._took(heartbeat.node, heartbeat.lends, asked_at)
             except (NoAnswer, orjson.JSONDecodeError, msgspec.ValidationError) as error:
                 log.debug("sibling %s: %s", sibling.host_name, error)
             await asyncio.sleep(EVERY_S)
--- a/petrelthread/peers/test_gossip.py
+++ b/petrelthread/peers/test_heartbeat.py
@@ -9,7 +9,7 @@
 import pytest
 
 from petrelthread.http import NoAnswer, Reply
-from petrelthread.peers import Gossip, Hello
+from petrelthread.peers import Heartbeat, Heartbeats
 from petrelthread.settings import Sibling
 from tests.virtual import play
 
@@ -18,17 +18,17 @@
     raise NoAnswer("refused", sent=False)
 
 
-def gossip(heard: list[Hello], request: Any = nobody) -> Gossip:
+def heartbeats(heard: list[Heartbeat], request: Any = nobody) -> Heartbeats:
     sibling = Sibling("n1", "n1:2", "a")
-    return Gossip((sibling,), request, lambda: Hello("n0", 3), heard.append)
+    return Heartbeats((sibling,), request, lambda: Heartbeat("n0", 3), heard.append)
 
 
 @pytest.mark.parametrize(
     "body", [b"", b"[]", b"null", b'{"epoch":1}', b'{"node":7}', b'{"node":"n1","epoch":"x"}']
 )
 def test_malformed_hellos_are_400_and_change_nothing(body: bytes) -> None:
-    heard: list[Hello] = []
-    node = gossip(heard)
+    heard: list[Heartbeat] = []
+    node = heartbeats(heard)
     response = play(node.handle("POST", body))
     assert response.status == 400
     assert b"error" in response.body
@@ -36,16 +36,16 @@
 
 
 def test_a_hello_is_answered_with_ours_and_ages() -> None:
-    heard: list[Hello] = []
+    heard: list[Heartbeat] = []
 
     async def scenario() -> None:
-        node = gossip(heard)
+        node = heartbeats(heard)
         body = orjson.dumps({"node": "n1", "epoch": 4, "state_ok": True, "later_field": 1})
         response = await node.handle("POST", body)
         assert response.status == 200
         assert orjson.loads(response.body)["epoch"] == 3
-        assert [hello.epoch for hello in heard] == [4]
-        assert [hello.node for hello in node.fresh(3.0)] == ["n1"]
+        assert [heartbeat.epoch for heartbeat in heard] == [4]
+        assert [heartbeat.node for heartbeat in node.fresh(3.0)] == ["n1"]
         await asyncio.sleep(4.0)
         assert not node.fresh(3.0)
 
@@ -54,7 +54,7 @@
 
 def test_garbled_answers_and_refusals_do_not_end_the_greeting() -> None:
     replies: list[Any] = [NoAnswer("refused", False), Reply(200, b"{"), Reply(200, b'{"node":1}')]
-    heard: list[Hello] = []
+    heard: list[Heartbeat] = []
 
     async def request(*args: Any, **kwargs: Any) -> Reply:
         reply = replies.pop(0) if replies else Reply(200, b'{"node":"n1","epoch":9}')
@@ -63,9 +63,9 @@
         return reply
 
     async def scenario() -> None:
-        task = asyncio.ensure_future(gossip(heard, request).run())
+        task = asyncio.ensure_future(heartbeats(heard, request).run())
         await asyncio.sleep(3.5)
         task.cancel()
 
     play(scenario())
-    assert [hello.epoch for hello in heard] == [9]
+    assert [heartbeat.epoch for heartbeat in heard] == [9]
--- a/petrelthread/placement/place.py
+++ b/petrelthread/placement/place.py
@@ -38,26 +38,26 @@
         self.ram_gb = ram_gb
         self.images = images
 
-    def fits(self, want: Want) -> bool:
+    def fits(self, request: PlacementRequest) -> bool:
         return (
-            self.cores + EPS >= want.cores
-            and self.accelerators + EPS >= want.accelerators
-            and self.ram_gb + EPS >= want.ram_gb
+            self.cores + EPS >= request.cores
+            and self.accelerators + EPS >= request.accelerators
+            and self.ram_gb + EPS >= request.ram_gb
         )
 
-    def allowed(self, want: Want) -> bool:
+    def allowed(self, request: PlacementRequest) -> bool:
         return (
-            (want.spot or not self.spot)
-            and (want.types is None or self.type in want.types)
-            and (want.zone is None or self.zone == want.zone)
-            and self.machine not in want.avoid
+            (request.spot or not self.spot)
+            and (request.types is None or self.type in request.types)
+            and (request.zone is None or self.zone == request.zone)
+            and self.machine not in request.avoid
         )
 
-    def take(self, want: Want) -> None:
-        self.cores -= want.cores
-        self.accelerators -= want.accelerators
-        self.ram_gb -= want.ram_gb
-        self.images.add(want.image)
+    def take(self, request: PlacementRequest) -> None:
+        self.cores -= request.cores
+        self.accelerators -= request.accelerators
+        self.ram_gb -= request.ram_gb
+        self.images.add(request.image)
 
     def give_back(self, cores: float, accelerators: float, ram_gb: float) -> None:
         self.cores += cores
@@ -76,13 +76,13 @@
             set(self.images),
         )
 
-    def rank(self, want: Want) -> tuple[bool, float, float, int]:
+    def rank(self, request: PlacementRequest) -> tuple[bool, float, float, int]:
         """Smaller is better."""
-        return (want.image not in self.images, -self.cores, -self.ram_gb, self.machine)
+        return (request.image not in self.images, -self.cores, -self.ram_gb, self.machine)
 
 
-class Want(NamedTuple):
-    """What one job still wants placed."""
+class PlacementRequest(NamedTuple):
+    """What one job still requests placed."""
 
     job: int
     team: int
@@ -95,8 +95,8 @@
     types: frozenset[int] | None
     zone: int | None
     spot: bool
-    same_place: bool
-    scatter: bool
+    single_zone: bool
+    spread_zones: bool
     live_zones: dict[int, int]  # where tasks of the job may be now, and how many
     avoid: frozenset[int] = frozenset()  # machines on which it failed
     whole: bool = False  # a gang: all pending tasks in this round or none
@@ -104,7 +104,7 @@
     beside: dict[int, int] | None = None
 
 
-class TeamRoom:
+class QuotaHeadroom:
     """What a team may still use."""
 
     __slots__ = ("accelerators", "cores")
@@ -113,17 +113,17 @@
         self.cores = cores
         self.accelerators = accelerators
 
-    def most(self, want: Want) -> int:
-        most = want.pending
-        if want.cores > 0:
-            most = min(most, int((self.cores + EPS) / want.cores))
-        if want.accelerators > 0:
-            most = min(most, int((self.accelerators + EPS) / want.accelerators))
+    def most(self, request: PlacementRequest) -> int:
+        most = request.pending
+        if request.cores > 0:
+            most = min(most, int((self.cores + EPS) / request.cores))
+        if request.accelerators > 0:
+            most = min(most, int((self.accelerators + EPS) / request.accelerators))
         return max(0, most)
 
-    def take(self, want: Want, tasks: int) -> None:
-        self.cores -= tasks * want.cores
-        self.accelerators -= tasks * want.accelerators
+    def take(self, request: PlacementRequest, tasks: int) -> None:
+        self.cores -= tasks * request.cores
+        self.accelerators -= tasks * request.accelerators
 
 
 class Round(NamedTuple):
@@ -131,28 +131,28 @@
     next_start: int  # where to go on if the time was up; 0 when the round got through
 
 
-def zone_room(want: Want) -> Callable[[int], int]:
+def zone_room(request: PlacementRequest) -> Callable[[int], int]:
     """How many more tasks of the job may go to a zone."""
-    half = (want.tasks + 1) // 2
+    half = (request.tasks + 1) // 2
 
     def room(zone: int) -> int:
-        if want.same_place and any(z != zone for z in want.live_zones):
+        if request.single_zone and any(z != zone for z in request.live_zones):
             return 0
-        if want.scatter:
-            return half - want.live_zones.get(zone, 0)
-        return want.pending
+        if request.spread_zones:
+            return half - request.live_zones.get(zone, 0)
+        return request.pending
 
     return room
 
 
-def single_zone(want: Want, slots: list[Slot], most: int) -> int | None:
+def choose_zone(request: PlacementRequest, slots: list[Slot], most: int) -> int | None:
     """For a job that must be in one zone: where its tasks are, else where most of them fit."""
-    if want.live_zones:
-        return next(iter(want.live_zones))
+    if request.live_zones:
+        return next(iter(request.live_zones))
     fits: dict[int, int] = {}
     for slot in slots:
-        if slot.allowed(want) and slot.fits(want):
-            count = int((slot.cores + EPS) / want.cores) if want.cores > 0 else most
+        if slot.allowed(request) and slot.fits(request):
+            count = int((slot.cores + EPS) / request.cores) if request.cores > 0 else most
             fits[slot.zone] = fits.get(slot.zone, 0) + count
     if not fits:
         return None
@@ -160,87 +160,87 @@
 
 
 def place(
-    wants: list[Want],
+    requests: list[PlacementRequest],
     slots: list[Slot],
-    teams: list[TeamRoom],
+    teams: list[QuotaHeadroom],
     start: int = 0,
     expired: Callable[[], bool] = lambda: False,
 ) -> Round:
-    """Serve the wants in order, changing slots and team room as it goes.
+    """Serve the requests in order, changing slots and team room as it goes.
 
-    When the time is up, the next round starts with the first want that was not looked at.
+    When the time is up, the next round starts with the first request that was not looked at.
     """
     placed: list[tuple[int, int]] = []
-    count = len(wants)
+    count = len(requests)
     start = start % count if count else 0
     roomiest = max((slot.cores for slot in slots), default=0.0)
     for step in range(count):
         if step and expired():
             return Round(placed, (start + step) % count)
-        want = wants[(start + step) % count]
-        if roomiest + EPS < want.cores:
+        request = requests[(start + step) % count]
+        if roomiest + EPS < request.cores:
             continue
-        got = _place_job(want, slots, teams[want.team])
+        got = _place_job(request, slots, teams[request.team])
         if got:
-            placed += [(want.job, machine) for machine in got]
+            placed += [(request.job, machine) for machine in got]
             roomiest = max(slot.cores for slot in slots)
     return Round(placed, 0)
 
 
 def _spread(
-    want: Want,
+    request: PlacementRequest,
     beside: dict[int, int],
     slots: list[Slot],
-    team: TeamRoom,
+    team: QuotaHeadroom,
     most: int,
     room: Callable[[int], int],
 ) -> list[int]:
     """Replicas one by one: where the fewest of the job are, zone first if it asks for that; then by
     the machine rule. By that rule alone all went to the one machine that cached their image."""
     on = dict(beside)
-    zones = dict(want.live_zones)
+    zones = dict(request.live_zones)
     left = {slot.zone: room(slot.zone) for slot in slots}
     got: list[int] = []
     while len(got) < most:
-        fitting = [slot for slot in slots if left[slot.zone] > 0 and slot.fits(want)]
+        fitting = [slot for slot in slots if left[slot.zone] > 0 and slot.fits(request)]
         if not fitting:
             break
         best = min(
             fitting,
             key=lambda s: (
-                zones.get(s.zone, 0) if want.scatter else 0,
+                zones.get(s.zone, 0) if request.spread_zones else 0,
                 on.get(s.machine, 0),
-                s.rank(want),
+                s.rank(request),
             ),
         )
-        best.take(want)
+        best.take(request)
         left[best.zone] -= 1
         zones[best.zone] = zones.get(best.zone, 0) + 1
         on[best.machine] = on.get(best.machine, 0) + 1
-        team.cores -= want.cores
-        team.accelerators -= want.accelerators
+        team.cores -= request.cores
+        team.accelerators -= request.accelerators
         got.append(best.machine)
     return got
 
 
-def _place_job(want: Want, slots: list[Slot], team: TeamRoom) -> list[int]:
-    most = team.most(want)
-    if most <= 0 or (want.whole and most < want.pending):
+def _place_job(request: PlacementRequest, slots: list[Slot], team: QuotaHeadroom) -> list[int]:
+    most = team.most(request)
+    if most <= 0 or (request.whole and most < request.pending):
         return []
-    before = [s.copy() for s in slots] if want.whole else []
-    only = single_zone(want, slots, most) if want.same_place else None
-    if want.same_place and only is None:
+    before = [s.copy() for s in slots] if request.whole else []
+    only = choose_zone(request, slots, most) if request.single_zone else None
+    if request.single_zone and only is None:
         return []
-    room = zone_room(want)
-    if want.beside is not None:
-        open_slots = [s for s in slots if (only is None or s.zone == only) and s.allowed(want)]
-        return _spread(want, want.beside, open_slots, team, min(most, want.pending), room)
+    room = zone_room(request)
+    if request.beside is not None:
+        open_slots = [s for s in slots if (only is None or s.zone == only) and s.allowed(request)]
+        return _spread(request, request.beside, open_slots, team, min(most, request.pending), room)
     left: dict[int, int] = {}
     heap = []
     for at, slot in enumerate(slots):
-        if (only is None or slot.zone == only) and slot.allowed(want) and slot.fits(want):
+        if (only is None or slot.zone == only) and slot.allowed(request) and slot.fits(request):
             left.setdefault(slot.zone, room(slot.zone))
-            heap.append((slot.rank(want), at))
+            heap.append((slot.rank(request), at))
     heapq.heapify(heap)
     got: list[int] = []
     limit = (team.cores, team.accelerators)
@@ -251,15 +251,15 @@
             heapq.heappop(heap)
             continue
         left[slot.zone] -= 1
-        slot.take(want)
-        team.cores -= want.cores
-        team.accelerators -= want.accelerators
+        slot.take(request)
+        team.cores -= request.cores
+        team.accelerators -= request.accelerators
         got.append(slot.machine)
-        if slot.fits(want):
-            heapq.heapreplace(heap, (slot.rank(want), at))
+        if slot.fits(request):
+            heapq.heapreplace(heap, (slot.rank(request), at))
         else:
             heapq.heappop(heap)
-    if want.whole and len(got) < want.pending:
+    if request.whole and len(got) < request.pending:
         slots[:] = before
         team.cores, team.accelerators = limit
         return []
--- a/petrelthread/placement/preempt.py
+++ b/petrelthread/placement/preempt.py
@@ -8,7 +8,7 @@
 
 from typing import NamedTuple
 
-from petrelthread.placement.place import Slot, Want
+from petrelthread.placement.place import PlacementRequest, Slot
 
 
 class Victim(NamedTuple):
@@ -25,11 +25,13 @@
     lost_s: float  # run time that would be lost; more for one that was stopped before
 
 
-def may_displace(want: Want, rank: int, guaranteed: bool, victim: Victim, over: float) -> bool:
+def may_displace(
+    request: PlacementRequest, rank: int, guaranteed: bool, victim: Victim, over: float
+) -> bool:
     """``over``: cores that the victim's team uses beyond its guarantee."""
     if victim.rank < rank:
         return True
-    return guaranteed and victim.team != want.team and over + 1e-6 >= victim.cores > 0
+    return guaranteed and victim.team != request.team and over + 1e-6 >= victim.cores > 0
 
 
 def served_before(rank: int, guaranteed: bool, victim: Victim, inside: dict[int, bool]) -> bool:
@@ -44,7 +46,7 @@
 
 
 def choose_victims(
-    want: Want,
+    request: PlacementRequest,
     rank: int,
     guaranteed: bool,
     needed: int,
@@ -66,12 +68,12 @@
         if needed <= 0:
             break
         slot = slots.get(machine)
-        if slot is None or not slot.allowed(want) or slot.fits(want):
+        if slot is None or not slot.allowed(request) or slot.fits(request):
             continue
         cores, accelerators, ram_gb = slot.cores, slot.accelerators, slot.ram_gb
         taken: list[Victim] = []
         for victim in there:
-            if not may_displace(want, rank, guaranteed, victim, over[victim.team]):
+            if not may_displace(request, rank, guaranteed, victim, over[victim.team]):
                 continue
             taken.append(victim)
             over[victim.team] -= victim.cores
@@ -79,9 +81,9 @@
             accelerators += victim.accelerators
             ram_gb += victim.ram_gb
             if (
-                cores + 1e-6 >= want.cores
-                and accelerators + 1e-6 >= want.accelerators
-                and ram_gb + 1e-6 >= want.ram_gb
+                cores + 1e-6 >= request.cores
+                and accelerators + 1e-6 >= request.accelerators
+                and ram_gb + 1e-6 >= request.ram_gb
             ):
                 chosen += taken
                 needed -= 1
--- a/petrelthread/placement/replica_room.py
+++ b/petrelthread/placement/replica_room.py
@@ -8,14 +8,14 @@
 
 from typing import NamedTuple
 
-from petrelthread.placement.place import Slot, Want, zone_room
+from petrelthread.placement.place import PlacementRequest, Slot, zone_room
 from petrelthread.placement.preempt import Victim, may_displace
 
 
 class ReplicaNeed(NamedTuple):
     """Replicas of one service that have no machine."""
 
-    want: Want
+    request: PlacementRequest
     rank: int
     guaranteed: bool
     lacking: int
@@ -48,9 +48,9 @@
 
     def make_room(self, need: ReplicaNeed) -> list[Victim]:
         """Tasks to stop for the replicas of one service; none for those that fit as it is."""
-        want = need.want
-        on_machine = dict(want.beside or {})
-        in_zone = dict(want.live_zones)
+        request = need.request
+        on_machine = dict(request.beside or {})
+        in_zone = dict(request.live_zones)
         for machine in need.placed_on:
             self._count(machine, on_machine, in_zone)
         stopped: list[Victim] = []
@@ -58,7 +58,7 @@
             choice = self._choose(need, on_machine, in_zone)
             if choice is None:
                 break
-            self._apply(choice, want)
+            self._apply(choice, request)
             self._count(choice.machine, on_machine, in_zone)
             stopped += choice.victims
         return stopped
@@ -72,20 +72,20 @@
     def _choose(
         self, need: ReplicaNeed, on_machine: dict[int, int], in_zone: dict[int, int]
     ) -> _Choice | None:
-        want = need.want
-        room = zone_room(want._replace(live_zones=in_zone))
+        request = need.request
+        room = zone_room(request._replace(live_zones=in_zone))
         choices = []
         for machine, slot in self._slots.items():
-            if not slot.allowed(want) or room(slot.zone) <= 0:
+            if not slot.allowed(request) or room(slot.zone) <= 0:
                 continue
             victims = self._victims_on(slot, need)
             if victims is None:
                 continue
             choices.append(
                 _Choice(
-                    in_zone.get(slot.zone, 0) if want.scatter else 0,
+                    in_zone.get(slot.zone, 0) if request.spread_zones else 0,
                     on_machine.get(machine, 0),
-                    want.image not in slot.images,
+                    request.image not in slot.images,
                     sum(victim.lost_s for victim in victims),
                     machine,
                     tuple(victims),
@@ -95,24 +95,24 @@
 
     def _victims_on(self, slot: Slot, need: ReplicaNeed) -> list[Victim] | None:
         """The least loss that makes room for one replica there; None if nothing does."""
-        want = need.want
+        request = need.request
         left = slot.copy()
         over = dict(enumerate(self._over))
         taken: list[Victim] = []
         for victim in self._victims.get(slot.machine, ()):
-            if left.fits(want):
+            if left.fits(request):
                 break
-            if not may_displace(want, need.rank, need.guaranteed, victim, over[victim.team]):
+            if not may_displace(request, need.rank, need.guaranteed, victim, over[victim.team]):
                 continue
             taken.append(victim)
             over[victim.team] -= victim.cores
             left.give_back(victim.cores, victim.accelerators, victim.ram_gb)
-        return taken if left.fits(want) else None
+        return taken if left.fits(request) else None
 
-    def _apply(self, choice: _Choice, want: Want) -> None:
+    def _apply(self, choice: _Choice, request: PlacementRequest) -> None:
         slot = self._slots[choice.machine]
         for victim in choice.victims:
             self._victims[choice.machine].remove(victim)
             self._over[victim.team] -= victim.cores
             slot.give_back(victim.cores, victim.accelerators, victim.ram_gb)
-        slot.take(want)
+        slot.take(request)
--- a/petrelthread/placement/hold.py
+++ b/petrelthread/placement/reservations.py
@@ -9,38 +9,40 @@
 
 from collections.abc import Iterable
 
-from petrelthread.placement.place import EPS, Slot, TeamRoom, Want
+from petrelthread.placement.place import EPS, PlacementRequest, QuotaHeadroom, Slot
 
 
-def hold(
-    wants: Iterable[Want],
+def reserve_machines(
+    requests: Iterable[PlacementRequest],
     slots: list[Slot],
     whole: dict[int, tuple[float, float, float]],
-    teams: list[TeamRoom],
+    teams: list[QuotaHeadroom],
     held: dict[int, int],
 ) -> dict[int, int]:
     """By job, the machine to be kept for it. ``whole``: cores, accelerators and memory of each
     machine when empty. ``held``: what was kept so far; it stays as long as that can serve."""
     out: dict[int, int] = {}
     taken: set[int] = set()
-    for want in wants:
-        if teams[want.team].most(want) <= 0 or any(s.allowed(want) and s.fits(want) for s in slots):
+    for request in requests:
+        if teams[request.team].most(request) <= 0 or any(
+            s.allowed(request) and s.fits(request) for s in slots
+        ):
             continue
         able = [
             s
             for s in slots
-            if s.machine not in taken and s.allowed(want) and _holds(want, whole[s.machine])
+            if s.machine not in taken and s.allowed(request) and _holds(request, whole[s.machine])
         ]
         if not able:
             continue
-        kept = held.get(want.job)
+        kept = held.get(request.job)
         # The one where least has to fall free; of equals, always the same.
         best = min(able, key=lambda s: (s.machine != kept, -s.cores, -s.ram_gb, s.machine))
-        out[want.job] = best.machine
+        out[request.job] = best.machine
         taken.add(best.machine)
     return out
 
 
-def _holds(want: Want, whole: tuple[float, float, float]) -> bool:
-    needs = (want.cores, want.accelerators, want.ram_gb)
+def _holds(request: PlacementRequest, whole: tuple[float, float, float]) -> bool:
+    needs = (request.cores, request.accelerators, request.ram_gb)
     return all(need <= have + EPS for need, have in zip(needs, whole, strict=True))
--- a/petrelthread/placement/rounds.py
+++ b/petrelthread/placement/scheduler.py
@@ -6,11 +6,13 @@
 import logging
 import time
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
 from typing import Any
 
 from petrelthread import wire
 from petrelthread.fleet import Dispatch, Fleet, Machine
 from petrelthread.ledger import (
+    FINISHED,
     STOPS,
     Attempt,
     Book,
@@ -21,8 +23,8 @@
     pack_done,
     pack_round,
 )
-from petrelthread.placement.hold import hold
-from petrelthread.placement.place import TeamRoom, Want, place
+from petrelthread.placement.place import PlacementRequest, QuotaHeadroom, place
+from petrelthread.placement.reservations import reserve_machines
 from petrelthread.placement.stops import Stops
 from petrelthread.placement.view import View
 from petrelthread.settings import Settings
@@ -32,10 +34,28 @@
 
 CONDITIONS = 4  # of a transaction, for each change that it may make
 FENCE = 3  # conditions that each claim has anyway: lead, epoch and its marker
+KEPT_FOR_STARTS = 3  # changes of a transaction that the ends of jobs leave to the rest
 Placement = tuple[Job, int, Machine]  # job, task, machine
 
 
-class Rounds:
+@dataclass
+class RoundClaim:
+    """What one round writes in one transaction, and what follows once it is won."""
+
+    stops: list[Attempt]
+    ops: list[dict[str, Any]] = field(default_factory=list)
+    absent: list[str] = field(default_factory=list)  # keys that must not exist
+    marker: str | None = None  # the key that proves that the claim was applied
+    completed: list[Job] = field(default_factory=list)
+    done_number: int = 0
+    done_record: list[Any] = field(default_factory=list)
+    rounds: list[tuple[int, Any]] = field(default_factory=list)  # number and record
+    suspects: dict[str, list[str]] = field(default_factory=dict)
+    dropped: list[str] = field(default_factory=list)
+    more: bool = False  # some of it had to wait for the next round
+
+
+class Scheduler:
     def __init__(
         self,
         settings: Settings,
@@ -60,7 +80,7 @@
         self._ops_most = state.txn_ops
         self._number = 0
         self._cursor = 0
-        self.held: dict[int, int] = {}  # by job that should have begun: the machine kept for it
+        self.reserved: dict[int, int] = {}  # by job that should have begun: the machine kept for it
         self.dead_keys: list[str] = []  # records that are settled, to be dropped
         self.gap_s = 0.25
         self.budget_s = 0.05
@@ -69,7 +89,7 @@
     def take_over(self, epoch: int) -> None:
         self._number = epoch << 20
         self._cursor = 0
-        self.held.clear()
+        self.reserved.clear()
         self.dead_keys.clear()
 
     def next_number(self) -> int:
@@ -81,8 +101,8 @@
 
     def decide(self, now: float) -> tuple[list[Placement], list[Attempt]]:
         """What to start, and what to stop to make room."""
-        wants: list[Want] = []
-        late: list[Want] = []  # one task each of jobs that should have begun
+        requests: list[PlacementRequest] = []
+        late: list[PlacementRequest] = []  # one task each of jobs that should have begun
         guaranteed: dict[int, bool] = {}
         for index, inside, _, overdue in self._view.turns():
             job = self._book.jobs[index]
@@ -90,32 +110,32 @@
             if job.gang and job.live:
                 continue  # its other tasks are still there: they end, and all start anew together
             if job.pending > 0 and now >= job.not_before:
-                want = self._view.want(job)
+                request = self._view.request(job)
                 if self._fleet.suspect(job) and not job.gang:
                     if not job.live:
-                        wants.append(want._replace(pending=1))
+                        requests.append(request._replace(pending=1))
                     continue
                 if overdue and not job.gang:
                     # It should have begun: one task goes before all else, the others in turn.
-                    late.append(want._replace(pending=1))
-                    want = want._replace(pending=want.pending - 1)
-                wants.append(want)
-        wants = late + wants
-        if not wants:
+                    late.append(request._replace(pending=1))
+                    request = request._replace(pending=request.pending - 1)
+                requests.append(request)
+        requests = late + requests
+        if not requests:
             return [], []
-        slots, surplus = self._view.slots(min(want.cores for want in wants))
+        slots, surplus = self._view.slots(min(request.cores for request in requests))
         free = list(slots.values())
         use = self._view.team_use()
         teams = [
-            TeamRoom(team.most_cores - use[i][0], team.most_accelerators - use[i][1])
+            QuotaHeadroom(team.most_cores - use[i][0], team.most_accelerators - use[i][1])
             for i, team in enumerate(self._view.teams)
         ]
-        self._hold(late, teams)
-        kept = set(self.held.values())
+        self._reserve_machines(late, teams)
+        kept = set(self.reserved.values())
         free = [slot for slot in free if slot.machine not in kept]
         clock = asyncio.get_running_loop().time
         stop_at = clock() + self.budget_s
-        done = place(wants, free, teams, self._cursor, lambda: clock() >= stop_at)
+        done = place(requests, free, teams, self._cursor, lambda: clock() >= stop_at)
         self._cursor = done.next_start
         slots = {slot.machine: slot for slot in free}
         if done.next_start:
@@ -125,12 +145,12 @@
             for job_index, _ in done.placed:
                 placed_so_far[job_index] = placed_so_far.get(job_index, 0) + 1
             rest = [
-                want._replace(pending=want.pending - placed_so_far.get(want.job, 0))
-                for want in wants
-                if want.pending > placed_so_far.get(want.job, 0)
-                and not want.same_place
-                and not want.scatter
-                and not want.whole
+                request._replace(pending=request.pending - placed_so_far.get(request.job, 0))
+                for request in requests
+                if request.pending > placed_so_far.get(request.job, 0)
+                and not request.single_zone
+                and not request.spread_zones
+                and not request.whole
             ]
             done.placed.extend(place(rest, surplus, teams).placed)
         placements: list[Placement] = []
@@ -144,17 +164,17 @@
             placed.setdefault(job_index, []).append(machine_index)
         if done.next_start:
             return placements, []
-        stops = self._stops.for_room(wants, guaranteed, placed, teams, slots, use, kept, now)
+        stops = self._stops.for_room(requests, guaranteed, placed, teams, slots, use, kept, now)
         return placements, stops
 
-    def _hold(self, late: list[Want], teams: list[TeamRoom]) -> None:
-        before = self.held
+    def _reserve_machines(self, late: list[PlacementRequest], teams: list[QuotaHeadroom]) -> None:
+        before = self.reserved
         if late:
             slots = list(self._view.slots()[0].values())
-            self.held = hold(late, slots, self._view.whole(slots), teams, before)
+            self.reserved = reserve_machines(late, slots, self._view.whole(slots), teams, before)
         else:
-            self.held = {}
-        for job, machine in self.held.items():
+            self.reserved = {}
+        for job, machine in self.reserved.items():
             if before.get(job) != machine:
                 log.info(
                     "machine %s is kept for %s, which should have begun and fits nowhere",
@@ -164,24 +184,47 @@
 
     async def round(self, now: float) -> bool:
         """Decide and claim once. True if there is more to write at once."""
-        book = self._book
         stops = self._stops.drain(now)
         placements, preempted = self.decide(now)
-        stops += preempted
-        ops: list[dict[str, Any]] = []
-        absent: list[str] = []
-        # Jobs that are complete: one key says so, and stands for all their tasks.
+        claim = self._build_claim(placements, stops + preempted, now)
+        if not claim.ops:
+            return False
+        outcome, failed = await self._claims.claim(claim.ops, claim.marker, tuple(claim.absent))
+        if outcome is Outcome.FENCED:
+            return False
+        if outcome is Outcome.CLASHED:
+            # A job was cancelled in between (or an earlier, unanswered claim of ours did count):
+            # only the state service can say which.
+            log.info("claim clashed on %s", ", ".join(failed))
+            return await self._refresh()
+        self._apply_claim(claim, now)
+        return claim.more or bool(self._fleet.finished)
+
+    # ---- what a round writes ----------------------------------------------------------------
+
+    def _build_claim(
+        self, placements: list[Placement], stops: list[Attempt], now: float
+    ) -> RoundClaim:
+        claim = RoundClaim(stops=stops)
+        self._add_finished(claim)
+        self._add_rounds(claim, placements)
+        self._add_suspects(claim)
+        self._add_clean_up(claim, now)
+        return claim
+
+    def _collect_finished(self) -> tuple[list[Job], dict[str, list[int]]]:
+        """Jobs that are complete, and the finished tasks of the others."""
         completed: list[Job] = []
         partly: dict[str, list[int]] = {}
         for index, tasks in list(self._fleet.finished.items()):
-            job = book.jobs[index]
+            job = self._book.jobs[index]
             if job.final is not None:
                 del self._fleet.finished[index]
                 self._release_ended(job)
                 continue
             # What another leader, or a claim of ours that we had given up, made durable meanwhile
             # counts as done already. Counted twice, it would make the job done too soon.
-            tasks = {task for task in tasks if job.states[task] != 2}
+            tasks = {task for task in tasks if job.states[task] != FINISHED}
             if not tasks and job.done < job.tasks:
                 del self._fleet.finished[index]
                 continue
@@ -190,103 +233,109 @@
                 completed.append(job)
             else:
                 partly[job.id] = list(tasks)
-        completed = completed[: max(1, self._ops_most - 3)]
-        for job in completed:
-            ops.append(wire.put(f"{ROOT}f/{job.id}", wire.DONE))
-            absent.append(f"f/{job.id}")
-        marker: str | None = None
-        done_number = 0
-        done_record: list[Any] = []
+        return completed, partly
+
+    def _add_finished(self, claim: RoundClaim) -> None:
+        completed, partly = self._collect_finished()
+        # One key says that a job is complete, and stands for all its tasks.
+        claim.completed = completed[: max(1, self._ops_most - KEPT_FOR_STARTS)]
+        for job in claim.completed:
+            claim.ops.append(wire.put(f"{ROOT}f/{job.id}", wire.DONE))
+            claim.absent.append(f"f/{job.id}")
         if partly:
-            done_record, _ = pack_done(partly, self._value_most)
-            done_number = self.next_number()
-            marker = f"d/{done_number}"
-            ops.append(wire.put(ROOT + marker, done_record))
-        placements, cut = self._while_wanted(placements, absent)
+            claim.done_record, _ = pack_done(partly, self._value_most)
+            claim.done_number = self.next_number()
+            claim.marker = f"d/{claim.done_number}"
+            claim.ops.append(wire.put(ROOT + claim.marker, claim.done_record))
+
+    def _add_rounds(self, claim: RoundClaim, placements: list[Placement]) -> None:
+        placements, cut = self._while_wanted(placements, claim.absent)
         entries = [(m.name, m.session, job.id, task) for job, task, m in placements]
-        entries += [(STOPS, 0, a.job.id, a.task) for a in stops]
+        entries += [(STOPS, 0, a.job.id, a.task) for a in claim.stops]
         records = pack_round(entries, self._value_most)
-        rounds: list[tuple[int, Any]] = []
-        for record in records[: max(1, self._ops_most - len(ops))]:
+        for record in records[: max(1, self._ops_most - len(claim.ops))]:
             number = self.next_number()
-            rounds.append((number, record))
-            ops.append(wire.put(f"{ROOT}r/{number}", record))
-            marker = marker or f"r/{number}"
-        more = cut or len(rounds) < len(records)
+            claim.rounds.append((number, record))
+            claim.ops.append(wire.put(f"{ROOT}r/{number}", record))
+            claim.marker = claim.marker or f"r/{number}"
+        claim.more = cut or len(claim.rounds) < len(records)
+
+    def _add_suspects(self, claim: RoundClaim) -> None:
         suspects = self._fleet.new_suspects()
-        for job_id in list(suspects)[: max(0, self._ops_most - len(ops))]:
-            ops.append(wire.put(f"{ROOT}s/{job_id}", suspects[job_id]))
-        # Settled records go only when the write rate has room to spare: a round that waits for its
-        # turn behind a clean-up keeps tasks waiting.
+        for job_id in list(suspects)[: max(0, self._ops_most - len(claim.ops))]:
+            claim.suspects[job_id] = suspects[job_id]
+            claim.ops.append(wire.put(f"{ROOT}s/{job_id}", suspects[job_id]))
+
+    def _add_clean_up(self, claim: RoundClaim, now: float) -> None:
+        """Settled records go only when the write rate has room to spare: a round that waits for its
+        turn behind a clean-up keeps tasks waiting."""
+        book = self._book
         dead = [f"r/{n}" for n in book.dead_rounds()] + [f"d/{n}" for n in book.dead_done_records()]
         dead += self.dead_keys + [f"s/{job_id}" for job_id in self._fleet.cleared_suspects()]
-        room = min(self._ops_most - len(ops), self._spare_writes(now) - len(ops))
-        dropping = dead[: max(0, room)]
-        ops += [wire.drop(ROOT + key) for key in dropping]
-        if not ops:
-            return False
-        outcome, failed = await self._claims.claim(ops, marker, tuple(absent))
-        if outcome is Outcome.FENCED:
-            return False
-        if outcome is Outcome.CLASHED:
-            # A job was cancelled in between (or an earlier, unanswered claim of ours did count):
-            # only the state service can say which.
-            log.info("claim clashed on %s", ", ".join(failed))
-            return await self._refresh()
-        for key in dropping:
+        written = len(claim.ops)
+        room = min(self._ops_most - written, self._spare_writes(now) - written)
+        claim.dropped = dead[: max(0, room)]
+        claim.ops += [wire.drop(ROOT + key) for key in claim.dropped]
+
+    # ---- what a won claim changes -----------------------------------------------------------
+
+    def _apply_claim(self, claim: RoundClaim, now: float) -> None:
+        for key in claim.dropped:
             self._dropped(key)
-        for op in ops:
-            job_id = str(op.get("put", "")).removeprefix(f"{ROOT}s/")
-            if job_id in suspects:
-                self._book.suspects[job_id] = suspects[job_id]
-        for job in completed:
-            self._fleet.finished.pop(job.index, None)
-            for attempt in list(job.live.values()):
-                book.release(attempt, done=True)
-            book.finish(job.id, wire.DONE)
-            log.debug(
-                "done %s (%s of %s): %d tasks, %.1f s after it was accepted, %.1f s at best",
-                job.id,
-                self._book.names.classes.name(job.jobclass),
-                self._book.names.teams.name(job.team),
-                job.tasks,
-                time.time() - job.accepted_at,
-                self._view.waves(job, job.tasks) * self._view.estimates.run_s(job),
-            )
-        if done_number:
-            book.apply_done(done_number, done_record)
-            self._forget_finished(done_record)
+        self._book.suspects.update(claim.suspects)
+        for job in claim.completed:
+            self._complete(job)
+        if claim.done_number:
+            self._book.apply_done(claim.done_number, claim.done_record)
+            self._forget_finished(claim.done_record)
         launched: list[Attempt] = []
-        for number, record in rounds:
-            launched += book.apply_round(number, record, Op.DISPATCHING)
+        for number, record in claim.rounds:
+            launched += self._book.apply_round(number, record, Op.DISPATCHING)
         for attempt in launched:
             attempt.at = now
             attempt.job.last_start_at = time.time()
-            if log.isEnabledFor(logging.DEBUG):
-                machine = self._fleet.machines[attempt.machine]
-                cached = attempt.job.image in machine.images
-                waited = time.time() - attempt.job.accepted_at
-                log.debug(
-                    "start %s/%d (%s) on %s after %.2f s, image %s",
-                    attempt.job.id,
-                    attempt.task,
-                    self._book.names.classes.name(attempt.job.jobclass),
-                    machine.name,
-                    waited,
-                    "there" if cached else "to fetch",
-                )
-        stopped = [a for a in stops if a.halted_at]
+            self._log_start(attempt)
+        stopped = [attempt for attempt in claim.stops if attempt.halted_at]
         for attempt in stopped:
             attempt.halted_at = now
         self._dispatch.send(launched, stopped)
-        return more or bool(self._fleet.finished)
+
+    def _complete(self, job: Job) -> None:
+        self._fleet.finished.pop(job.index, None)
+        for attempt in list(job.live.values()):
+            self._book.release(attempt, done=True)
+        self._book.finish(job.id, wire.DONE)
+        log.debug(
+            "done %s (%s of %s): %d tasks, %.1f s after it was accepted, %.1f s at best",
+            job.id,
+            self._book.names.classes.name(job.jobclass),
+            self._book.names.teams.name(job.team),
+            job.tasks,
+            time.time() - job.accepted_at,
+            self._view.waves(job, job.tasks) * self._view.estimates.run_s(job),
+        )
+
+    def _log_start(self, attempt: Attempt) -> None:
+        if not log.isEnabledFor(logging.DEBUG):
+            return
+        machine = self._fleet.machines[attempt.machine]
+        cached = attempt.job.image in machine.images
+        log.debug(
+            "start %s/%d (%s) on %s after %.2f s, image %s",
+            attempt.job.id,
+            attempt.task,
+            self._book.names.classes.name(attempt.job.jobclass),
+            machine.name,
+            time.time() - attempt.job.accepted_at,
+            "there" if cached else "to fetch",
+        )
 
     def _while_wanted(
         self, placements: list[Placement], absent: list[str]
     ) -> tuple[list[Placement], bool]:
         """Claim starts only of jobs that nobody has called off, as far as one claim can say.
 
-        A cancellation may be confirmed elsewhere a moment before the mirror here shows it, and
+        A cancellation may be confirmed elsewhere a moment before the watch cache here shows it, and
         from then on no task of the job may start. Adds to ``absent``; True if some had to wait.
         """
         room = CONDITIONS * self._ops_most - len(absent) - FENCE
@@ -318,7 +367,7 @@
             tasks = self._fleet.finished.get(job.index)
             if tasks is None:
                 continue
-            left = {task for task in tasks if job.final is None and job.states[task] != 2}
+            left = {task for task in tasks if job.final is None and job.states[task] != FINISHED}
             if left:
                 self._fleet.finished[job.index] = left
             else:
--- a/petrelthread/placement/stops.py
+++ b/petrelthread/placement/stops.py
@@ -10,7 +10,7 @@
 from petrelthread.fleet import Fleet, Health
 from petrelthread.ledger import Attempt, Book, Job, Op
 from petrelthread.placement.order import BEGIN_S
-from petrelthread.placement.place import Slot, TeamRoom, Want
+from petrelthread.placement.place import PlacementRequest, QuotaHeadroom, Slot
 from petrelthread.placement.preempt import Victim, choose_victims, served_before
 from petrelthread.placement.replica_room import ReplicaNeed, RoomMaker
 from petrelthread.placement.view import View
@@ -39,10 +39,10 @@
 
     def for_room(
         self,
-        wants: list[Want],
+        requests: list[PlacementRequest],
         guaranteed: dict[int, bool],
         placed: dict[int, list[int]],
-        teams: list[TeamRoom],
+        teams: list[QuotaHeadroom],
         slots: dict[int, Slot],
         use: list[tuple[float, float]],
         kept: set[int],
@@ -53,34 +53,41 @@
         ``placed``: the machines that got tasks of a job in this round.
         """
         over = [u[0] - t.cpus for u, t in zip(use, self._view.teams, strict=False)]
-        for_replicas = self._for_replicas(wants, guaranteed, placed, teams, slots, over, kept, now)
+        for_replicas = self._for_replicas(
+            requests, guaranteed, placed, teams, slots, over, kept, now
+        )
         if for_replicas:
             return for_replicas
         victims: list[Victim] | None = None
-        for want in wants:
-            job = self._book.jobs[want.job]
+        for request in requests:
+            job = self._book.jobs[request.job]
             if job.service or self._fleet.suspect(job):
                 continue
             # A job that still gets room as it falls free does not need others to be stopped.
             waiting_s = time.time() - max(job.accepted_at, job.last_start_at)
-            lacking = self._lacking(want, placed, teams)
+            lacking = self._lacking(request, placed, teams)
             patience_s = self._patience.get(job.jobclass, PATIENCE_S)
-            if lacking <= 0 or waiting_s < patience_s or want.same_place or want.scatter:
+            if (
+                lacking <= 0
+                or waiting_s < patience_s
+                or request.single_zone
+                or request.spread_zones
+            ):
                 continue
-            if job.rank < wire.RANKS["high"] and not guaranteed[want.job]:
+            if job.rank < wire.RANKS["high"] and not guaranteed[request.job]:
                 continue
             if victims is None:
                 if self._stopping(now):
                     return []  # let the room made so far be used first
                 victims = self._victims(now)
                 slots = self._all_slots(slots)
-            inside = guaranteed[want.job]
+            inside = guaranteed[request.job]
             behind = [
                 v
                 for v in victims
                 if v.machine not in kept and served_before(job.rank, inside, v, guaranteed)
             ]
-            chosen = choose_victims(want, job.rank, inside, lacking, behind, slots, over)
+            chosen = choose_victims(request, job.rank, inside, lacking, behind, slots, over)
             out = self._attempts(chosen, job)
             if out:
                 return out
@@ -88,10 +95,10 @@
 
     def _for_replicas(
         self,
-        wants: list[Want],
+        requests: list[PlacementRequest],
         guaranteed: dict[int, bool],
         placed: dict[int, list[int]],
-        teams: list[TeamRoom],
+        teams: list[QuotaHeadroom],
         slots: dict[int, Slot],
         over: list[float],
         kept: set[int],
@@ -102,14 +109,14 @@
         One service a round, waiting for each stop to end, took 15 s when a zone was lost.
         """
         needs = []
-        for want in wants:
-            job = self._book.jobs[want.job]
-            lacking = self._lacking(want, placed, teams) if job.service else 0
-            if lacking <= 0 or want.same_place or self._fleet.suspect(job):
+        for request in requests:
+            job = self._book.jobs[request.job]
+            lacking = self._lacking(request, placed, teams) if job.service else 0
+            if lacking <= 0 or request.single_zone or self._fleet.suspect(job):
                 continue
-            teams[want.team].take(want, lacking)
-            on = tuple(placed.get(want.job, ()))
-            needs.append(ReplicaNeed(want, job.rank, guaranteed[want.job], lacking, on))
+            teams[request.team].take(request, lacking)
+            on = tuple(placed.get(request.job, ()))
+            needs.append(ReplicaNeed(request, job.rank, guaranteed[request.job], lacking, on))
         if not needs:
             return []
         room = {m: slot.copy() for m, slot in self._all_slots(slots).items() if m not in kept}
@@ -120,12 +127,16 @@
         maker = RoomMaker(room, self._victims(now), over)
         out = []
         for need in needs:
-            out += self._attempts(maker.make_room(need), self._book.jobs[need.want.job])
+            out += self._attempts(maker.make_room(need), self._book.jobs[need.request.job])
         return out
 
-    def _lacking(self, want: Want, placed: dict[int, list[int]], teams: list[TeamRoom]) -> int:
+    def _lacking(
+        self, request: PlacementRequest, placed: dict[int, list[int]], teams: list[QuotaHeadroom]
+    ) -> int:
         """How many tasks still want room that their team's limit leaves them."""
-        return min(want.pending - len(placed.get(want.job, ())), teams[want.team].most(want))
+        return min(
+            request.pending - len(placed.get(request.job, ())), teams[request.team].most(request)
+        )
 
     def _all_slots(self, slots: dict[int, Slot]) -> dict[int, Slot]:
         """Full machines too, which a round leaves out; ``slots``: as the round has left them."""
--- a/petrelthread/placement/test_place.py
+++ b/petrelthread/placement/test_place.py
@@ -6,12 +6,12 @@
 
 import pytest
 
-from petrelthread.placement import Slot, Standing, TeamRoom, Want, order, place
+from petrelthread.placement import PlacementRequest, QuotaHeadroom, Slot, Standing, order, place
 
 TYPES, ZONES, IMAGES = 3, 3, 4
 
 
-def random_case(seed: int) -> tuple[list[Want], list[Slot], list[TeamRoom]]:
+def random_case(seed: int) -> tuple[list[PlacementRequest], list[Slot], list[QuotaHeadroom]]:
     r = random.Random(seed)
     slots = [
         Slot(
@@ -26,15 +26,15 @@
         )
         for machine in range(r.randrange(1, 12))
     ]
-    wants = []
+    requests = []
     for job in range(r.randrange(1, 8)):
         pending = r.randrange(1, 12)
-        same_place, scatter = r.random() < 0.2, r.random() < 0.2
+        single_zone, spread_zones = r.random() < 0.2, r.random() < 0.2
         live = {}
-        if (same_place or scatter) and r.random() < 0.5:
+        if (single_zone or spread_zones) and r.random() < 0.5:
             live = {r.randrange(ZONES): r.randrange(1, 3)}
-        wants.append(
-            Want(
+        requests.append(
+            PlacementRequest(
                 job,
                 r.randrange(2),
                 pending + sum(live.values()),
@@ -46,66 +46,68 @@
                 frozenset(r.sample(range(TYPES), 2)) if r.random() < 0.3 else None,
                 r.randrange(ZONES) if r.random() < 0.2 else None,
                 r.random() < 0.8,
-                same_place,
-                scatter,
+                single_zone,
+                spread_zones,
                 live,
                 frozenset({0}) if r.random() < 0.1 else frozenset(),
                 not live and r.random() < 0.2,
             )
         )
-    return wants, slots, [TeamRoom(float(r.choice([4, 10, 40])), 3.0) for _ in range(2)]
+    return requests, slots, [QuotaHeadroom(float(r.choice([4, 10, 40])), 3.0) for _ in range(2)]
 
 
-def model(wants: list[Want], slots: list[Slot], teams: list[TeamRoom]) -> list[tuple[int, int]]:
+def model(
+    requests: list[PlacementRequest], slots: list[Slot], teams: list[QuotaHeadroom]
+) -> list[tuple[int, int]]:
     """Task by task, looking at every machine each time."""
     placed: list[tuple[int, int]] = []
-    for want in wants:
-        zones = dict(want.live_zones)
+    for request in requests:
+        zones = dict(request.live_zones)
         chosen = None
-        if want.same_place:
+        if request.single_zone:
             if zones:
                 chosen = next(iter(zones))
             else:
-                team = teams[want.team]
-                most = min(want.pending, int(team.cores / want.cores + 1e-6))
-                if want.accelerators:
-                    most = min(most, int(team.accelerators / want.accelerators + 1e-6))
+                team = teams[request.team]
+                most = min(request.pending, int(team.cores / request.cores + 1e-6))
+                if request.accelerators:
+                    most = min(most, int(team.accelerators / request.accelerators + 1e-6))
                 room: dict[int, int] = {}
                 for s in slots:
-                    if s.allowed(want) and s.fits(want):
-                        room[s.zone] = room.get(s.zone, 0) + int(s.cores / want.cores + 1e-6)
+                    if s.allowed(request) and s.fits(request):
+                        room[s.zone] = room.get(s.zone, 0) + int(s.cores / request.cores + 1e-6)
                 if not room:
                     continue
                 chosen = min(room, key=lambda z: (-min(room[z], most), z))
         saved = [s.copy() for s in slots], [(t.cores, t.accelerators) for t in teams]
         count = len(placed)
-        for _ in range(want.pending):
-            team = teams[want.team]
-            if team.cores + 1e-6 < want.cores or team.accelerators + 1e-6 < want.accelerators:
+        for _ in range(request.pending):
+            team = teams[request.team]
+            if team.cores + 1e-6 < request.cores or team.accelerators + 1e-6 < request.accelerators:
                 break
             best = None
             for s in slots:
-                if not s.allowed(want) or not s.fits(want):
+                if not s.allowed(request) or not s.fits(request):
                     continue
                 if chosen is not None and s.zone != chosen:
                     continue
-                if want.scatter and zones.get(s.zone, 0) >= (want.tasks + 1) // 2:
+                if request.spread_zones and zones.get(s.zone, 0) >= (request.tasks + 1) // 2:
                     continue
-                key = (want.image not in s.images, -s.cores, -s.ram_gb, s.machine)
+                key = (request.image not in s.images, -s.cores, -s.ram_gb, s.machine)
                 if best is None or key < best[0]:
                     best = (key, s)
             if best is None:
                 break
             slot = best[1]
-            slot.cores -= want.cores
-            slot.accelerators -= want.accelerators
-            slot.ram_gb -= want.ram_gb
-            slot.images.add(want.image)
-            team.cores -= want.cores
-            team.accelerators -= want.accelerators
+            slot.cores -= request.cores
+            slot.accelerators -= request.accelerators
+            slot.ram_gb -= request.ram_gb
+            slot.images.add(request.image)
+            team.cores -= request.cores
+            team.accelerators -= request.accelerators
             zones[slot.zone] = zones.get(slot.zone, 0) + 1
-            placed.append((want.job, slot.machine))
-        if want.whole and len(placed) - count < want.pending:
+            placed.append((request.job, slot.machine))
+        if request.whole and len(placed) - count < request.pending:
             del placed[count:]
             slots[:] = saved[0]
             for t, (cores, accelerators) in zip(teams, saved[1], strict=True):
@@ -127,15 +129,15 @@
 
 def test_a_round_out_of_time_goes_on_where_it_stopped() -> None:
     for seed in range(200):
-        wants, slots, teams = random_case(seed)
-        wants = [w for w in wants if w.scatter is False]
-        if len(wants) < 2:
+        requests, slots, teams = random_case(seed)
+        requests = [w for w in requests if w.spread_zones is False]
+        if len(requests) < 2:
             continue
-        first = place(wants, slots, teams, 0, lambda: True)
-        assert {job for job, _ in first.placed} <= {wants[0].job}
+        first = place(requests, slots, teams, 0, lambda: True)
+        assert {job for job, _ in first.placed} <= {requests[0].job}
         assert first.next_start == 1
-        served = [job for job, _ in place(wants, slots, teams, 1, lambda: True).placed]
-        assert set(served) <= {wants[1].job}
+        served = [job for job, _ in place(requests, slots, teams, 1, lambda: True).placed]
+        assert set(served) <= {requests[1].job}
 
 
 def standing(
@@ -193,23 +195,25 @@
     assert got == {0: True, 1: False, 2: True}
 
 
-@pytest.mark.parametrize("scatter", [False, True])
-def test_replicas_go_where_the_fewest_of_their_job_are(scatter: bool) -> None:
+@pytest.mark.parametrize("spread_zones", [False, True])
+def test_replicas_go_where_the_fewest_of_their_job_are(spread_zones: bool) -> None:
     """By the machine rule alone all went to the one machine that cached their image."""
     slots = [Slot(n, 0, n % 2, False, 16.0, 0.0, 64.0, {0} if n == 0 else set()) for n in range(4)]
     beside = {0: 1}
-    want = Want(0, 0, 5, 4, 1.0, 0.0, 1.0, 0, None, None, False, False, scatter, {0: 1})
-    got = place([want._replace(beside=beside)], slots, [TeamRoom(99.0, 0.0)]).placed
+    request = PlacementRequest(
+        0, 0, 5, 4, 1.0, 0.0, 1.0, 0, None, None, False, False, spread_zones, {0: 1}
+    )
+    got = place([request._replace(beside=beside)], slots, [QuotaHeadroom(99.0, 0.0)]).placed
     assert len(got) == 4
     on = dict.fromkeys(range(4), 0) | beside
     zones = {0: 1, 1: 0}
     for _, machine in got:
         least = min(
-            (zones[n % 2] if scatter else 0, on[n])
+            (zones[n % 2] if spread_zones else 0, on[n])
             for n in range(4)
-            if not scatter or zones[n % 2] < 3
+            if not spread_zones or zones[n % 2] < 3
         )
-        assert (zones[machine % 2] if scatter else 0, on[machine]) == least
+        assert (zones[machine % 2] if spread_zones else 0, on[machine]) == least
         on[machine] += 1
         zones[machine % 2] += 1
     assert max(on.values()) == 2
--- a/petrelthread/placement/test_replica_room.py
+++ b/petrelthread/placement/test_replica_room.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from petrelthread.placement.place import Slot, Want
+from petrelthread.placement.place import PlacementRequest, Slot
 from petrelthread.placement.preempt import Victim
 from petrelthread.placement.replica_room import ReplicaNeed, RoomMaker
 
@@ -18,9 +18,11 @@
     return Victim(job, task, 1, rank, machine, 2.0, 0.0, 4.0, lost_s)
 
 
-def need(job: int, lacking: int, scatter: bool = False, tasks: int = 4) -> ReplicaNeed:
-    want = Want(job, 0, tasks, lacking, 1.0, 0.0, 1.0, IMAGE, None, None, False, False, scatter, {})
-    return ReplicaNeed(want._replace(beside={}), PROD, True, lacking, ())
+def need(job: int, lacking: int, spread_zones: bool = False, tasks: int = 4) -> ReplicaNeed:
+    request = PlacementRequest(
+        job, 0, tasks, lacking, 1.0, 0.0, 1.0, IMAGE, None, None, False, False, spread_zones, {}
+    )
+    return ReplicaNeed(request._replace(beside={}), PROD, True, lacking, ())
 
 
 def test_room_for_several_services_is_made_in_one_go() -> None:
@@ -47,7 +49,7 @@
     slots = {0: machine(0, zone=0), 1: machine(1, zone=0), 2: machine(2, zone=1)}
     victims = [running(5, n, n % 2, 1.0) for n in range(4)] + [running(6, 0, 2, 1.0, rank=PROD)]
     maker = RoomMaker(slots, victims, [0.0, 0.0])
-    stopped = maker.make_room(need(1, 4, scatter=True))
+    stopped = maker.make_room(need(1, 4, spread_zones=True))
     assert {v.machine for v in stopped} == {0, 1}
     assert len(stopped) == 2  # at most half of the replicas may be in one zone
 
--- a/petrelthread/placement/view.py
+++ b/petrelthread/placement/view.py
@@ -10,7 +10,7 @@
 from petrelthread.fleet import Fleet, Health
 from petrelthread.ledger import Book, Job
 from petrelthread.placement.order import LATE_S, Standing, Turn, order
-from petrelthread.placement.place import EPS, Slot, Want
+from petrelthread.placement.place import EPS, PlacementRequest, Slot
 from petrelthread.settings import Settings
 
 USUAL_SPREAD = 0.3  # of run times against estimates, until some are seen
@@ -26,9 +26,9 @@
         self._seen: dict[int, int] = {}
 
     def learn(self, job: Job, ran_s: float) -> None:
-        if job.guess_s <= 0:
+        if job.estimated_run_s <= 0:
             return
-        ratio = min(10.0, max(0.1, ran_s / job.guess_s))
+        ratio = min(10.0, max(0.1, ran_s / job.estimated_run_s))
         seen = self._seen[job.jobclass] = min(50, self._seen.get(job.jobclass, 0) + 1)
         old = self._ratio.get(job.jobclass, 1.0)
         self._ratio[job.jobclass] = old + (ratio - old) / (seen + 2)
@@ -38,14 +38,14 @@
     def run_s(self, job: Job) -> float:
         if job.service:
             return math.inf
-        return max(0.5, job.guess_s * self._ratio.get(job.jobclass, 1.0))
+        return max(0.5, job.estimated_run_s * self._ratio.get(job.jobclass, 1.0))
 
     def tail_s(self, job: Job) -> float:
         """How much longer the last of a job's tasks is likely to run. One alone has no tail."""
         if job.tasks < 2:
             return 0.0
         variance = self._variance.get(job.jobclass, USUAL_SPREAD**2)
-        return min(job.guess_s, 1.5 * math.sqrt(variance) * job.guess_s)
+        return min(job.estimated_run_s, 1.5 * math.sqrt(variance) * job.estimated_run_s)
 
 
 class View:
@@ -242,16 +242,16 @@
         usable = sum(machine.open for machine in self._fleet.machines.values())
         return frozenset(failed_on) if 2 * len(failed_on) <= usable else frozenset()
 
-    def want(self, job: Job) -> Want:
+    def request(self, job: Job) -> PlacementRequest:
         live_zones: dict[int, int] = {}
         beside: dict[int, int] = {}
-        if job.same_place or job.scatter or job.service:
+        if job.single_zone or job.spread_zones or job.service:
             for attempt in job.live.values():
                 machine = self._fleet.machines.get(attempt.machine)
                 if machine is not None and not attempt.ended:
                     live_zones[machine.zone] = live_zones.get(machine.zone, 0) + 1
                     beside[machine.index] = beside.get(machine.index, 0) + 1
-        return Want(
+        return PlacementRequest(
             job.index,
             job.team,
             job.tasks,
@@ -263,8 +263,8 @@
             job.types,
             job.zone,
             job.spot,
-            job.same_place,
-            job.scatter,
+            job.single_zone,
+            job.spread_zones,
             live_zones,
             self._avoid(job),
             job.gang,
--- a/petrelthread/rental/keeper.py
+++ b/petrelthread/rental/provisioner.py
@@ -12,7 +12,7 @@
 from petrelthread import wire
 from petrelthread.fleet import Fleet, Health, Machine
 from petrelthread.ledger import Book, Claims, Job, Op, Outcome, move
-from petrelthread.placement.rounds import Rounds
+from petrelthread.placement.scheduler import Scheduler
 from petrelthread.placement.view import View
 from petrelthread.rental.cloud import CloudClient, CloudDown, CloudUnsure, NoCapacity
 from petrelthread.rental.plan import (
@@ -58,7 +58,7 @@
         self.busy = False
 
 
-class Keeper:
+class Provisioner:
     def __init__(
         self,
         settings: Settings,
@@ -66,7 +66,7 @@
         fleet: Fleet,
         claims: Claims,
         cloud: CloudClient,
-        rounds: Rounds,
+        rounds: Scheduler,
         view: View,
         options: Callable[[], Options],
         leading: Callable[[], bool],
@@ -77,7 +77,7 @@
         self._fleet = fleet
         self._claims = claims
         self._cloud = cloud
-        self._rounds = rounds
+        self._scheduler = rounds
         self._view = view
         self._options = options
         self._leading = leading
@@ -157,8 +157,8 @@
         value = op.value
         for name in names:
             machine = self._fleet.machine(name, now)
-            if not machine.charter:
-                machine.charter = op.key
+            if not machine.rental_key:
+                machine.rental_key = op.key
                 machine.type = self._book.names.types.index(value["t"])
                 machine.zone = self._book.names.zones.index(value["z"])
                 machine.spot = bool(value["s"])
@@ -220,7 +220,7 @@
         self.ops.pop(op.key, None)
         self._book.rentals.pop(op.key[2:], None)
         self._book.returns.pop(op.key[2:], None)
-        self._rounds.dead_keys.append(op.key)
+        self._scheduler.dead_keys.append(op.key)
 
     # ---- list ---------------------------------------------------------------------------------
 
@@ -274,7 +274,10 @@
         return sum(
             job.tasks * job.cores
             for job in self._book.open.values()
-            if job.service and job.scatter and job.zone is None and not self._fleet.suspect(job)
+            if job.service
+            and job.spread_zones
+            and job.zone is None
+            and not self._fleet.suspect(job)
         )
 
     def _boot_s(self) -> float:
@@ -378,7 +381,7 @@
     def _standing(self, job: Job) -> list[Demand]:
         """Room for all replicas, always. Spread over zones there has to be some in each."""
         shares = {job.zone: job.tasks}
-        if job.scatter and job.zone is None:
+        if job.spread_zones and job.zone is None:
             open_zones = self._open_zones()
             if open_zones:
                 count = len(open_zones)
@@ -527,7 +530,7 @@
                     why = "drained before it is taken"
             elif machine.health is Health.BOOTING:
                 limit = max(LOST_BOOT * boot_s, boot_s + 2 * lag)
-                heard_s = now - self._fleet.awake_at
+                heard_s = now - self._fleet.resumed_at
                 late = now - machine.rented_at > limit and now - machine.known_at > boot_s
                 if late and heard_s > self._hear_s:
                     why = "never came up"
--- a/petrelthread/store/__init__.py
+++ b/petrelthread/store/__init__.py
@@ -1,4 +1,4 @@
-"""The state service: a client that keeps to its budgets, and a mirror of our keys."""
+"""The state service: a client that keeps to its budgets, and a watch cache of our keys."""
 
 from petrelthread.store.client import (
     Budget,
@@ -11,15 +11,14 @@
     StateRefused,
     StateUnsure,
 )
-from petrelthread.store.mirror import ROOT, Mirror
 from petrelthread.store.rates import WriteRates
 from petrelthread.store.shares import Shares
+from petrelthread.store.watch_cache import ROOT, WatchCache
 
 __all__ = [
     "ROOT",
     "Budget",
     "Conflict",
-    "Mirror",
     "NoSuchLease",
     "Request",
     "Shares",
@@ -28,5 +27,6 @@
     "StateDown",
     "StateRefused",
     "StateUnsure",
+    "WatchCache",
     "WriteRates",
 ]
--- a/petrelthread/store/mirror.py
+++ b/petrelthread/store/watch_cache.py
@@ -18,7 +18,7 @@
 Listener = Callable[[str, Any, int], None]
 
 
-class Mirror:
+class WatchCache:
     """Values by key (below ROOT). Every change is told once, in order, to the listener."""
 
     def __init__(self, client: StateClient, listener: Listener, gap_s: float) -> None:
@@ -93,7 +93,7 @@
         self.last_ok = max(self.last_ok, start)
 
     async def follow(self) -> None:
-        """Keep the mirror near the service for as long as the process lives."""
+        """Keep the cache near the service for as long as the process lives."""
         while True:
             try:
                 if not self.loaded.is_set():
@@ -106,7 +106,7 @@
                 await asyncio.sleep(0.3)
 
     async def fresh(self) -> bool:
-        """True once the mirror holds all that was there when this was called.
+        """True once the cache holds all that was there when this was called.
 
         Callers share rounds: a round serves only those who asked before it began, so one may be
         running while the next one gathers callers.
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -383,7 +383,7 @@
         node.book.apply_done(1, [["wk-000001", [0, 1]]])
         world.judge.completed |= {"wk-000001/0", "wk-000001/1"}
         node.fleet.finished[found.index] = [0, 1]
-        node.rounds.wake.set()
+        node.scheduler.wake.set()
         await asyncio.sleep(1.0)
         assert found.final is None
         await world.until_over(90.0)
--- a/tests/test_formats.py
+++ b/tests/test_formats.py
@@ -14,7 +14,7 @@
 import orjson
 
 from petrelthread.ledger import Book, NamesBook, pack_done, pack_round
-from petrelthread.peers import Hello
+from petrelthread.peers import Heartbeat
 from tests.virtual import play
 from tests.world import World, job
 
@@ -35,13 +35,13 @@
 
 
 def test_what_production_wrote_is_read() -> None:
-    """A reader sees the keys in the order in which they were written (Mirror.load sorts them)."""
+    """A reader sees the keys in the order of their writing (WatchCache.load sorts them)."""
     book = Book(NamesBook(["red"], ["a", "b"]))
     for stamp, (key, value) in enumerate(GOLDEN.items(), 1):
         book.on_key(key, value, stamp)
     first, second, third = (book.by_id[f"wk-00000{n}"] for n in (1, 2, 3))
-    assert (first.tasks, first.spot, first.scatter, first.service) == (4, True, False, False)
-    assert (second.same_place, second.scatter, second.spot) == (True, True, True)
+    assert (first.tasks, first.spot, first.spread_zones, first.service) == (4, True, False, False)
+    assert (second.single_zone, second.spread_zones, second.spot) == (True, True, True)
     assert (second.done, second.pending, second.due_s) == (3, 1, 90.0)
     assert third.final == "aborted" and set(third.live) == {2}  # counts until it is surely gone
     assert {task: a.number for task, a in first.live.items()} == {0: 4194305, 1: 4194305}
@@ -109,7 +109,12 @@
 
 def test_greetings_of_both_versions_are_understood() -> None:
     old = b'{"node":"n1","epoch":7,"leading":true,"state_ok":true,"workers":3,"zone":"a"}'
-    hello = msgspec.convert(orjson.loads(old), Hello)
-    assert (hello.node, hello.epoch, hello.leading, hello.asks) == ("n1", 7, True, 0.0)
+    heartbeat = msgspec.convert(orjson.loads(old), Heartbeat)
+    assert (heartbeat.node, heartbeat.epoch, heartbeat.leading, heartbeat.asks) == (
+        "n1",
+        7,
+        True,
+        0.0,
+    )
     known = {"node", "epoch", "leading", "state_ok", "workers", "zone", "asks", "lends"}
-    assert set(msgspec.to_builtins(Hello("n1"))) >= known
+    assert set(msgspec.to_builtins(Heartbeat("n1"))) >= known
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -163,7 +163,7 @@
         await still
         node = world.nodes[old]
         await asyncio.sleep(0.1)
-        assert node.awake.stood_s >= for_s - 1.0
+        assert node.pause_detector.stood_s >= for_s - 1.0
         assert not node.election.leading or for_s < 3.0
         status, got = await world.ask_admin(old, "status")
         assert status == 200
@@ -289,7 +289,7 @@
     async def scenario(world: World) -> None:
         world.cloud.capacity = {True: 0, False: 0}
         node = world.nodes[await world.led()]
-        node.rounds._spare_writes = lambda now: 0  # no writes to spare for striking them out
+        node.scheduler._spare_writes = lambda now: 0  # no writes to spare for striking them out
         await world.submit(job("wk-000001", 4, guess_s=10.0))
         await asyncio.sleep(20.0)
         old = set(world.cloud.asked)
--- a/tests/test_mirror.py
+++ b/tests/test_watch_cache.py
@@ -9,7 +9,7 @@
 import orjson
 
 from petrelthread.http import Reply
-from petrelthread.store import Budget, Mirror, StateClient
+from petrelthread.store import Budget, StateClient, WatchCache
 from tests.virtual import play
 
 
@@ -32,16 +32,16 @@
 
     async def main() -> None:
         client = StateClient(request, "state:1", Budget(100.0, 100.0), Budget(100.0, 100.0))
-        mirror = Mirror(client, lambda key, value, stamp: told.append((key, value)), 0.1)
-        mirror.loaded.set()
-        mirror.revision, mirror.stamps = 4, {"c/1-1": 2}
+        watch_cache = WatchCache(client, lambda key, value, stamp: told.append((key, value)), 0.1)
+        watch_cache.loaded.set()
+        watch_cache.revision, watch_cache.stamps = 4, {"c/1-1": 2}
         began = asyncio.get_running_loop().time()
-        reload = asyncio.ensure_future(mirror.load())
+        reload = asyncio.ensure_future(watch_cache.load())
         await asyncio.sleep(0.2)
-        assert await mirror.fresh()
+        assert await watch_cache.fresh()
         await reload
         assert told == [("r/9", []), ("f/wk-1", "done"), ("c/1-1", None)]
-        assert mirror.revision == 8
-        assert began + 0.1 < mirror.last_ok < began + 0.5  # not when the old pages came
+        assert watch_cache.revision == 8
+        assert began + 0.1 < watch_cache.last_ok < began + 0.5  # not when the old pages came
 
     play(main())
