--- a/petrelthread/controller.py
+++ b/petrelthread/controller.py
@@ -167,7 +167,7 @@
         if kind == "j" and len(self.book.jobs) > before and leading:
             job = self.book.jobs[-1]
             now = asyncio.get_running_loop().time()
-            self.provisioner.note_accepted(job, now)
+            self.provisioner.forecast.note_accepted(job, now)
             self.scheduler.wake.set()
             self.provisioner.wake.set()
         elif kind == "f" and leading:
--- a/petrelthread/peers/heartbeat.py
+++ b/petrelthread/peers/heartbeat.py
@@ -42,14 +42,14 @@
         siblings: tuple[Sibling, ...],
         request: Request,
         mine: Callable[[], Heartbeat],
-        on_hello: Callable[[Heartbeat], None],
+        on_heartbeat: Callable[[Heartbeat], None],
         lend: Callable[[Heartbeat], float] = lambda heartbeat: 0.0,
         took: Callable[[str, float, float], None] = lambda lender, amount, asked_at: None,
     ) -> None:
         self._siblings = siblings
         self._request = request
         self._mine = mine
-        self._on_heartbeat = on_hello
+        self._on_heartbeat = on_heartbeat
         self._lend = lend
         self._took = took
         self.heard: dict[str, Heard] = {}
--- a/petrelthread/rental/provisioner.py
+++ b/petrelthread/rental/provisioner.py
@@ -4,19 +4,18 @@
 
 import asyncio
 import logging
-import math
 import time
 from collections.abc import Callable, Collection
 from typing import Any
 
 from petrelthread import wire
 from petrelthread.fleet import Fleet, Health, Machine
-from petrelthread.ledger import Book, Claims, Job, Op, Outcome, move
+from petrelthread.ledger import Book, Claims, Op, Outcome, move
 from petrelthread.placement.scheduler import Scheduler
 from petrelthread.placement.view import View
 from petrelthread.rental.cloud import CloudClient, CloudDown, CloudUnsure, NoCapacity
+from petrelthread.rental.demand import LATE_BOOT, DemandForecast
 from petrelthread.rental.plan import (
-    Demand,
     Offer,
     Options,
     Owned,
@@ -26,7 +25,6 @@
     in_turn,
     plan,
 )
-from petrelthread.rental.reserve import Arrivals, standing_reserve
 from petrelthread.settings import Settings
 from petrelthread.store import ROOT
 
@@ -36,11 +34,6 @@
 CATALOG_EVERY_S = 60.0
 REPEAT_S = 1.5
 REPLANS = 10
-UNKNOWN_BOOT_S = 30.0  # until the catalogue is read
-EXPECTED_IN_ZONE = 2  # machines of the smallest type for classes not seen yet,
-EXPECTED_IN_ALL = 4  # and at least as many in all zones together
-LATE_BOOT = 1.6  # times the usual boot time: later than that, a machine is no capacity
-PROBED_ON = 6  # machines: a job that failed on more of them and completed nothing gets no other
 LOST_BOOT = 2.5  # and later than this it is given back
 
 
@@ -66,7 +59,7 @@
         fleet: Fleet,
         claims: Claims,
         cloud: CloudClient,
-        rounds: Scheduler,
+        scheduler: Scheduler,
         view: View,
         options: Callable[[], Options],
         leading: Callable[[], bool],
@@ -77,7 +70,7 @@
         self._fleet = fleet
         self._claims = claims
         self._cloud = cloud
-        self._scheduler = rounds
+        self._scheduler = scheduler
         self._view = view
         self._options = options
         self._leading = leading
@@ -89,15 +82,7 @@
         self._listed_at = float("-inf")
         self._list_ok_at = float("-inf")  # when the newest list that was answered was asked for
         self._catalog_at = float("-inf")
-        self._accepted = Arrivals()  # of jobs that must start soon
-        self._services = Arrivals(ramps=True)
-        # How soon they should start, by class.
-        self._waiting_classes: dict[int, float] = {}
-        for objective in settings.cluster.objectives:
-            if objective.kind == "wait":
-                index = book.names.classes.index(objective.jobclass)
-                soonest = self._waiting_classes.get(index, objective.within_s)
-                self._waiting_classes[index] = min(soonest, objective.within_s)
+        self.forecast = DemandForecast(settings, book, fleet, view, self.hulls, zones_down)
         # That a worker may take to find a new leader and report to it.
         self._hear_s = 2 * settings.cluster.workers.report_s + 5.0
         # In one plan: as many as the cloud takes in a burst.
@@ -130,13 +115,7 @@
         self.ops.clear()
         self._serial = 0
         self._listed_at = float("-inf")
-        wall = time.time()
-        seen = [
-            (now - (wall - job.accepted_at), job.tasks * job.cores)
-            for job in self._book.jobs
-            if job.service
-        ]
-        self._services = Arrivals(seen, ramps=True)
+        self.forecast.take_over(now)
         for charter, value in self._book.rentals.items():
             op = CloudOp(f"c/{charter}", value, Op.UNKNOWN)
             op.unknown_at = now
@@ -259,156 +238,6 @@
 
     # ---- plan ---------------------------------------------------------------------------------
 
-    def note_accepted(self, job: Job, now: float) -> None:
-        if job.service:
-            self._services.note(now, job.tasks * job.cores)
-        elif job.jobclass in self._waiting_classes:
-            self._accepted.note(now, job.tasks * job.cores)
-
-    def _standing_reserve(self, now: float) -> float:
-        zones = len(self._open_zones())
-        return standing_reserve(self._services, now, self._boot_s(), self._spread_cores(), zones)
-
-    def _spread_cores(self) -> float:
-        """Of services that are spread over all zones."""
-        return sum(
-            job.tasks * job.cores
-            for job in self._book.open.values()
-            if job.service
-            and job.spread_zones
-            and job.zone is None
-            and not self._fleet.suspect(job)
-        )
-
-    def _boot_s(self) -> float:
-        return max((hull.startup_s for hull in self.hulls.values()), default=UNKNOWN_BOOT_S)
-
-    def _open_zones(self) -> list[int]:
-        names = self._book.names.zones
-        zones = {names.index(zone) for hull in self.hulls.values() for zone in hull.roosts}
-        return sorted(zone for zone in zones if zone not in self._zones_down)
-
-    def _expected(self) -> list[Demand]:
-        """A little room on ordinary machines in each zone for classes that have to start before a
-        machine counts as late, and of which nobody has seen a job: they may not use cheap ones.
-
-        Judged by the usual boot time, the first services of a class waited a minute when boots
-        were slow.
-        """
-        seen = {job.jobclass for job in self._book.jobs}
-        boot_s = min((h.startup_s for h in self.hulls.values()), default=0.0)
-        if not self._book.open or not any(
-            within_s <= LATE_BOOT * boot_s and index not in seen
-            for index, within_s in self._waiting_classes.items()
-        ):
-            return []
-        smallest = min(self.hulls.values(), key=lambda hull: (hull.cores, hull.hourly))
-        names = self._book.names.zones
-        in_all = math.ceil(EXPECTED_IN_ALL / max(1, len(smallest.roosts)))
-        machines = max(EXPECTED_IN_ZONE, in_all)
-        return [
-            Demand(
-                machines,
-                0.0,
-                0.0,
-                smallest.cores,
-                0.0,
-                smallest.ram_gb,
-                None,
-                names.index(zone),
-                False,
-                standing=True,
-            )
-            for zone in smallest.roosts
-            if names.index(zone) not in self._zones_down
-        ]
-
-    def _reserve(self, now: float) -> float:
-        """Cores that jobs which must start soon are likely to ask for within a boot time."""
-        return self._accepted.expected_cores(now, self._boot_s())
-
-    def _demands(self, now: float) -> list[Demand]:
-        left = [[team.most_cores, team.most_accelerators] for team in self._view.teams]
-        out = self._expected()
-        wall = time.time()
-        for index, _, due_at, _ in self._view.turns():
-            job = self._book.jobs[index]
-            unfinished = job.tasks - job.done - len(self._fleet.finished.get(job.index, ()))
-            if unfinished <= 0 or now < job.not_before:
-                continue
-            if self._fleet.suspect(job):
-                # Tried on what is there; only the first few tries may ask for a machine, in case
-                # there is none and it was merely unlucky.
-                if len(self._fleet.failures.failed_on(job.index)) > PROBED_ON:
-                    continue
-                unfinished = 1
-            room = left[job.team]
-            if job.service:
-                room[0] -= job.tasks * job.cores
-                room[1] -= job.tasks * job.accelerators
-                out += self._standing(job)
-                continue
-            tasks = unfinished
-            if job.cores > 0:
-                tasks = min(tasks, int((room[0] + 1e-6) / job.cores))
-            if job.accelerators > 0:
-                tasks = min(tasks, int((room[1] + 1e-6) / job.accelerators))
-            tasks = max(tasks, 0)
-            room[0] -= tasks * job.cores
-            room[1] -= tasks * job.accelerators
-            run_s = self._view.estimates.run_s(job)
-            work_s = unfinished * run_s - sum(job.progress.values())
-            for attempt in job.live.values():
-                if attempt.running_at:
-                    work_s -= min(run_s * 0.9, now - attempt.running_at)
-            out.append(
-                Demand(
-                    tasks,
-                    max(work_s, 0.0),
-                    due_at - wall,
-                    job.cores,
-                    job.accelerators,
-                    job.ram_gb,
-                    job.types,
-                    job.zone,
-                    job.spot,
-                    job.pending > 0,
-                    not self._view.has_goals(job),
-                )
-            )
-        return out
-
-    def _standing(self, job: Job) -> list[Demand]:
-        """Room for all replicas, always. Spread over zones there has to be some in each."""
-        shares = {job.zone: job.tasks}
-        if job.spread_zones and job.zone is None:
-            open_zones = self._open_zones()
-            if open_zones:
-                count = len(open_zones)
-                # Which zone gets one more than the others differs from job to job.
-                shares = {
-                    open_zones[(at + job.index) % count]: (job.tasks + count - 1 - at) // count
-                    for at in range(count)
-                }
-        return [
-            Demand(
-                tasks,
-                0.0,
-                0.0,
-                job.cores,
-                job.accelerators,
-                job.ram_gb,
-                job.types,
-                zone,
-                job.spot,
-                True,
-                False,
-                True,
-            )
-            for zone, tasks in shares.items()
-            if tasks > 0
-        ]
-
     def _late(self, machine: Machine, now: float) -> bool:
         """Booting for so long that nobody should wait for it, though it may still come. To a new
         leader a machine that was idle looks the same until it reports, and must not be rented anew.
@@ -488,15 +317,15 @@
                             )
                         )
         options = self._options()
-        reserve = self._reserve(now) * options.reserve_share
+        reserve = self.forecast.urgent_reserve(now) * options.reserve_share
         return plan(
-            self._demands(now),
+            self.forecast.demands(now),
             owned,
             offers,
             reserve,
             options,
             self._calls,
-            self._standing_reserve(now),
+            self.forecast.standing_reserve(now),
         )
 
     # ---- return -------------------------------------------------------------------------------
