--- a/petrelthread/controller.py
+++ b/petrelthread/controller.py
@@ -201,8 +201,11 @@
         self._reports.clear()
         unknown = sum(len(there) for there in self.book.on_machine.values())
         log.info(
-            "take-over with epoch %d: %d open jobs, %d starts and %d cloud calls to settle",
+            "take-over with epoch %d: state read up to revision %d (%.2f s ago);"
+            " %d open jobs, %d starts and %d cloud calls to settle",
             epoch,
+            self.watch_cache.revision,
+            now - self.watch_cache.last_ok,
             len(self.book.open),
             unknown,
             len(self.provisioner.ops),
--- a/petrelthread/fleet/table.py
+++ b/petrelthread/fleet/table.py
@@ -563,7 +563,14 @@
                     grace += 4.0  # it may be with a controller that is gone, and looks for us
                 # Nothing was heard while we stood still: once, every machine was silent at once.
                 if now - max(machine.heard_at, self.resumed_at) > grace:
-                    log.info("machine %s is silent", machine.name)
+                    log.info(
+                        "machine %s is silent: not heard for %.1f s (limit %.1f s); %s in epoch %d",
+                        machine.name,
+                        now - machine.heard_at,
+                        grace,
+                        "answered" if machine.epoch_answered == self.epoch else "never answered",
+                        self.epoch,
+                    )
                     machine.move(Health.SILENT)
                 elif machine.not_receiving and not many and not machine.fault:
                     ignored_s = now - machine.ignored_since if machine.ignored else 0.0
--- a/petrelthread/placement/scheduler.py
+++ b/petrelthread/placement/scheduler.py
@@ -34,6 +34,7 @@
 
 CONDITIONS = 4  # of a transaction, for each change that it may make
 FENCE = 3  # conditions that each claim has anyway: lead, epoch and its marker
+EPOCH_SHIFT = 20  # a round's number is ``epoch << EPOCH_SHIFT | serial``
 KEPT_FOR_STARTS = 3  # changes of a transaction that the ends of jobs leave to the rest
 Placement = tuple[Job, int, Machine]  # job, task, machine
 
@@ -87,7 +88,7 @@
         self.wake = asyncio.Event()
 
     def take_over(self, epoch: int) -> None:
-        self._number = epoch << 20
+        self._number = epoch << EPOCH_SHIFT
         self._cursor = 0
         self.reserved.clear()
         self.dead_keys.clear()
@@ -190,6 +191,15 @@
         if not claim.ops:
             return False
         outcome, failed = await self._claims.claim(claim.ops, claim.marker, tuple(claim.absent))
+        log.debug(
+            "round %s of epoch %d: claim %s; %d starts, %d stops, decided at %.3f s",
+            claim.marker,
+            self._fleet.epoch,
+            outcome.value,
+            len(placements),
+            len(claim.stops),
+            now,
+        )
         if outcome is Outcome.FENCED:
             return False
         if outcome is Outcome.CLASHED:
@@ -321,15 +331,34 @@
         machine = self._fleet.machines[attempt.machine]
         cached = attempt.job.image in machine.images
         log.debug(
-            "start %s/%d (%s) on %s after %.2f s, image %s",
+            "start %s/%d (%s) on %s after %.2f s, image %s; attempt %d of epoch %d, zone %s,"
+            " its other tasks in %s",
             attempt.job.id,
             attempt.task,
             self._book.names.classes.name(attempt.job.jobclass),
             machine.name,
             time.time() - attempt.job.accepted_at,
             "there" if cached else "to fetch",
+            attempt.number,
+            attempt.number >> EPOCH_SHIFT,
+            self._zone_name(machine),
+            self._other_zones(attempt),
         )
 
+    def _zone_name(self, machine: Machine | None) -> str:
+        if machine is None or machine.zone < 0:
+            return "unknown zone"
+        return self._book.names.zones.name(machine.zone)
+
+    def _other_zones(self, attempt: Attempt) -> str:
+        """Where the job's other live tasks are, for the log: "zone: tasks, ..." or "none"."""
+        counts: dict[str, int] = {}
+        for other in attempt.job.live.values():
+            if other is not attempt and not other.ended:
+                zone = self._zone_name(self._fleet.machines.get(other.machine))
+                counts[zone] = counts.get(zone, 0) + 1
+        return ", ".join(f"{zone}: {count}" for zone, count in sorted(counts.items())) or "none"
+
     def _while_wanted(
         self, placements: list[Placement], absent: list[str]
     ) -> tuple[list[Placement], bool]:
