All requests of a job share one account of its tasks; last check of starts before a claim

The class: a decision made on a copy of shared state that other decisions of the same round had made out of date. Of the same class: a live task on a machine whose zone is not known yet (after a take-over) counted for no zone of a spread job, and not at all if the machine was not in the table. Change: JobOccupancy (one object a job and round, kept up to date by place; an unknown zone may be any); the one task of an overdue job goes to the zone where most of its tasks fit. StartCheck looks at all starts of a round together with what is live, last before the claim, drops what would break a rule and says so at level error; any test in which it does fails. Result: the two tests through Scheduler.decide were red before and are green now; with the copies put back they are red again.

--- a/petrelthread/placement/place.py
+++ b/petrelthread/placement/place.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from petrelthread.placement.occupancy import JobOccupancy, spread_limit
+
 EPS = 1e-6
 
 
@@ -97,11 +99,13 @@
     spot: bool
     single_zone: bool
     spread_zones: bool
-    live_zones: dict[int, int]  # where tasks of the job may be now, and how many
+    occupancy: JobOccupancy  # shared by all requests of the job, and kept up to date by ``place``
     avoid: frozenset[int] = frozenset()  # machines on which it failed
     whole: bool = False  # a gang: all pending tasks in this round or none
-    # A service: where its replicas are, by machine. They are spread, so that one loss takes few.
-    beside: dict[int, int] | None = None
+    spread_machines: bool = False  # a service: one loss is to take few of its replicas
+    # Of a job that is bound to one zone: for how many tasks the zone is chosen, where this request
+    # is for fewer of them.
+    zone_tasks: int = 0
 
 
 class QuotaHeadroom:
@@ -133,13 +137,12 @@
 
 def zone_room(request: PlacementRequest) -> Callable[[int], int]:
     """How many more tasks of the job may go to a zone."""
-    half = (request.tasks + 1) // 2
 
     def room(zone: int) -> int:
-        if request.single_zone and any(z != zone for z in request.live_zones):
+        if request.single_zone and not request.occupancy.only_in((zone,)):
             return 0
         if request.spread_zones:
-            return half - request.live_zones.get(zone, 0)
+            return spread_limit(request.tasks) - request.occupancy.most_in(zone)
         return request.pending
 
     return room
@@ -147,8 +150,8 @@
 
 def choose_zone(request: PlacementRequest, slots: list[Slot], most: int) -> int | None:
     """For a job that must be in one zone: where its tasks are, else where most of them fit."""
-    if request.live_zones:
-        return next(iter(request.live_zones))
+    if request.occupancy.zones:
+        return next(iter(request.occupancy.zones))
     fits: dict[int, int] = {}
     for slot in slots:
         if slot.allowed(request) and slot.fits(request):
@@ -189,7 +192,6 @@
 
 def _spread(
     request: PlacementRequest,
-    beside: dict[int, int],
     slots: list[Slot],
     team: QuotaHeadroom,
     most: int,
@@ -197,8 +199,7 @@
 ) -> list[int]:
     """Replicas one by one: where the fewest of the job are, zone first if it asks for that; then by
     the machine rule. By that rule alone all went to the one machine that cached their image."""
-    on = dict(beside)
-    zones = dict(request.live_zones)
+    there = request.occupancy
     left = {slot.zone: room(slot.zone) for slot in slots}
     got: list[int] = []
     while len(got) < most:
@@ -208,33 +209,40 @@
         best = min(
             fitting,
             key=lambda s: (
-                zones.get(s.zone, 0) if request.spread_zones else 0,
-                on.get(s.machine, 0),
+                there.zones.get(s.zone, 0) if request.spread_zones else 0,
+                there.machines.get(s.machine, 0),
                 s.rank(request),
             ),
         )
-        best.take(request)
         left[best.zone] -= 1
-        zones[best.zone] = zones.get(best.zone, 0) + 1
-        on[best.machine] = on.get(best.machine, 0) + 1
-        team.cores -= request.cores
-        team.accelerators -= request.accelerators
+        _take(request, best, team)
         got.append(best.machine)
     return got
 
 
+def _take(request: PlacementRequest, slot: Slot, team: QuotaHeadroom) -> None:
+    """Count one start everywhere that later decisions of the round look."""
+    slot.take(request)
+    team.take(request, 1)
+    request.occupancy.add(slot.zone, slot.machine)
+
+
 def _place_job(request: PlacementRequest, slots: list[Slot], team: QuotaHeadroom) -> list[int]:
     most = team.most(request)
     if most <= 0 or (request.whole and most < request.pending):
         return []
     before = [s.copy() for s in slots] if request.whole else []
-    only = choose_zone(request, slots, most) if request.single_zone else None
-    if request.single_zone and only is None:
-        return []
+    occupied = request.occupancy.copy()
+    only = None
+    if request.single_zone:
+        wanted = request._replace(pending=max(request.pending, request.zone_tasks))
+        only = choose_zone(request, slots, team.most(wanted))
+        if only is None:
+            return []
     room = zone_room(request)
-    if request.beside is not None:
+    if request.spread_machines:
         open_slots = [s for s in slots if (only is None or s.zone == only) and s.allowed(request)]
-        return _spread(request, request.beside, open_slots, team, min(most, request.pending), room)
+        return _spread(request, open_slots, team, min(most, request.pending), room)
     left: dict[int, int] = {}
     heap = []
     for at, slot in enumerate(slots):
@@ -251,9 +259,7 @@
             heapq.heappop(heap)
             continue
         left[slot.zone] -= 1
-        slot.take(request)
-        team.cores -= request.cores
-        team.accelerators -= request.accelerators
+        _take(request, slot, team)
         got.append(slot.machine)
         if slot.fits(request):
             heapq.heapreplace(heap, (slot.rank(request), at))
@@ -262,5 +268,6 @@
     if request.whole and len(got) < request.pending:
         slots[:] = before
         team.cores, team.accelerators = limit
+        request.occupancy.restore(occupied)
         return []
     return got
--- a/petrelthread/placement/replica_room.py
+++ b/petrelthread/placement/replica_room.py
@@ -8,6 +8,7 @@
 
 from typing import NamedTuple
 
+from petrelthread.placement.occupancy import JobOccupancy
 from petrelthread.placement.place import PlacementRequest, Slot, zone_room
 from petrelthread.placement.preempt import Victim, may_displace
 
@@ -19,7 +20,6 @@
     rank: int
     guaranteed: bool
     lacking: int
-    placed_on: tuple[int, ...]  # machines that got replicas of it in this very round
 
 
 class _Choice(NamedTuple):
@@ -49,31 +49,20 @@
     def make_room(self, need: ReplicaNeed) -> list[Victim]:
         """Tasks to stop for the replicas of one service; none for those that fit as it is."""
         request = need.request
-        on_machine = dict(request.beside or {})
-        in_zone = dict(request.live_zones)
-        for machine in need.placed_on:
-            self._count(machine, on_machine, in_zone)
+        occupancy = request.occupancy.copy()
         stopped: list[Victim] = []
         for _ in range(need.lacking):
-            choice = self._choose(need, on_machine, in_zone)
+            choice = self._choose(need, occupancy)
             if choice is None:
                 break
             self._apply(choice, request)
-            self._count(choice.machine, on_machine, in_zone)
+            occupancy.add(self._slots[choice.machine].zone, choice.machine)
             stopped += choice.victims
         return stopped
 
-    def _count(self, machine: int, on_machine: dict[int, int], in_zone: dict[int, int]) -> None:
-        on_machine[machine] = on_machine.get(machine, 0) + 1
-        slot = self._slots.get(machine)
-        if slot is not None:
-            in_zone[slot.zone] = in_zone.get(slot.zone, 0) + 1
-
-    def _choose(
-        self, need: ReplicaNeed, on_machine: dict[int, int], in_zone: dict[int, int]
-    ) -> _Choice | None:
+    def _choose(self, need: ReplicaNeed, occupancy: JobOccupancy) -> _Choice | None:
         request = need.request
-        room = zone_room(request._replace(live_zones=in_zone))
+        room = zone_room(request._replace(occupancy=occupancy))
         choices = []
         for machine, slot in self._slots.items():
             if not slot.allowed(request) or room(slot.zone) <= 0:
@@ -83,8 +72,8 @@
                 continue
             choices.append(
                 _Choice(
-                    in_zone.get(slot.zone, 0) if request.spread_zones else 0,
-                    on_machine.get(machine, 0),
+                    occupancy.zones.get(slot.zone, 0) if request.spread_zones else 0,
+                    occupancy.machines.get(machine, 0),
                     request.image not in slot.images,
                     sum(victim.lost_s for victim in victims),
                     machine,
--- a/petrelthread/placement/scheduler.py
+++ b/petrelthread/placement/scheduler.py
@@ -25,6 +25,7 @@
 )
 from petrelthread.placement.place import PlacementRequest, QuotaHeadroom, place
 from petrelthread.placement.reservations import reserve_machines
+from petrelthread.placement.start_check import Start, StartCheck
 from petrelthread.placement.stops import Stops
 from petrelthread.placement.view import View
 from petrelthread.settings import Settings
@@ -36,7 +37,6 @@
 FENCE = 3  # conditions that each claim has anyway: lead, epoch and its marker
 EPOCH_SHIFT = 20  # a round's number is ``epoch << EPOCH_SHIFT | serial``
 KEPT_FOR_STARTS = 3  # changes of a transaction that the ends of jobs leave to the rest
-Placement = tuple[Job, int, Machine]  # job, task, machine
 
 
 @dataclass
@@ -74,6 +74,7 @@
         self._dispatch = dispatch
         self._view = view
         self._stops = Stops(settings, book, fleet, view)
+        self.check = StartCheck(book, fleet, settings.cluster.teams)
         self._refresh = refresh
         self._spare_writes = spare_writes
         state = settings.cluster.state
@@ -100,7 +101,7 @@
 
     # ---- one round --------------------------------------------------------------------------
 
-    def decide(self, now: float) -> tuple[list[Placement], list[Attempt]]:
+    def decide(self, now: float) -> tuple[list[Start], list[Attempt]]:
         """What to start, and what to stop to make room."""
         requests: list[PlacementRequest] = []
         late: list[PlacementRequest] = []  # one task each of jobs that should have begun
@@ -118,7 +119,7 @@
                     continue
                 if overdue and not job.gang:
                     # It should have begun: one task goes before all else, the others in turn.
-                    late.append(request._replace(pending=1))
+                    late.append(request._replace(pending=1, zone_tasks=request.pending))
                     request = request._replace(pending=request.pending - 1)
                 requests.append(request)
         requests = late + requests
@@ -154,14 +155,15 @@
                 and not request.whole
             ]
             done.placed.extend(place(rest, surplus, teams).placed)
-        placements: list[Placement] = []
+        placements: list[Start] = []
         tasks: dict[int, Any] = {}
         placed: dict[int, list[int]] = {}  # by job: the machines that got a task of it
         for job_index, machine_index in done.placed:
             job = self._book.jobs[job_index]
             if job_index not in tasks:
                 tasks[job_index] = job.pending_tasks()
-            placements.append((job, next(tasks[job_index]), self._fleet.machines[machine_index]))
+            machine = self._fleet.machines[machine_index]
+            placements.append(Start(job, next(tasks[job_index]), machine))
             placed.setdefault(job_index, []).append(machine_index)
         if done.next_start:
             return placements, []
@@ -187,7 +189,7 @@
         """Decide and claim once. True if there is more to write at once."""
         stops = self._stops.drain(now)
         placements, preempted = self.decide(now)
-        claim = self._build_claim(placements, stops + preempted, now)
+        claim = self.build_claim(placements, stops + preempted, now)
         if not claim.ops:
             return False
         outcome, failed = await self._claims.claim(claim.ops, claim.marker, tuple(claim.absent))
@@ -212,9 +214,7 @@
 
     # ---- what a round writes ----------------------------------------------------------------
 
-    def _build_claim(
-        self, placements: list[Placement], stops: list[Attempt], now: float
-    ) -> RoundClaim:
+    def build_claim(self, placements: list[Start], stops: list[Attempt], now: float) -> RoundClaim:
         claim = RoundClaim(stops=stops)
         self._add_finished(claim)
         self._add_rounds(claim, placements)
@@ -258,7 +258,8 @@
             claim.marker = f"d/{claim.done_number}"
             claim.ops.append(wire.put(ROOT + claim.marker, claim.done_record))
 
-    def _add_rounds(self, claim: RoundClaim, placements: list[Placement]) -> None:
+    def _add_rounds(self, claim: RoundClaim, placements: list[Start]) -> None:
+        placements, _ = self.check.admit(placements)
         placements, cut = self._while_wanted(placements, claim.absent)
         entries = [(m.name, m.session, job.id, task) for job, task, m in placements]
         entries += [(STOPS, 0, a.job.id, a.task) for a in claim.stops]
@@ -359,9 +360,7 @@
                 counts[zone] = counts.get(zone, 0) + 1
         return ", ".join(f"{zone}: {count}" for zone, count in sorted(counts.items())) or "none"
 
-    def _while_wanted(
-        self, placements: list[Placement], absent: list[str]
-    ) -> tuple[list[Placement], bool]:
+    def _while_wanted(self, placements: list[Start], absent: list[str]) -> tuple[list[Start], bool]:
         """Claim starts only of jobs that nobody has called off, as far as one claim can say.
 
         A cancellation may be confirmed elsewhere a moment before the watch cache here shows it, and
--- a/petrelthread/placement/stops.py
+++ b/petrelthread/placement/stops.py
@@ -115,8 +115,7 @@
             if lacking <= 0 or request.single_zone or self._fleet.suspect(job):
                 continue
             teams[request.team].take(request, lacking)
-            on = tuple(placed.get(request.job, ()))
-            needs.append(ReplicaNeed(request, job.rank, guaranteed[request.job], lacking, on))
+            needs.append(ReplicaNeed(request, job.rank, guaranteed[request.job], lacking))
         if not needs:
             return []
         room = {m: slot.copy() for m, slot in self._all_slots(slots).items() if m not in kept}
--- a/petrelthread/placement/test_place.py
+++ b/petrelthread/placement/test_place.py
@@ -7,6 +7,7 @@
 import pytest
 
 from petrelthread.placement import PlacementRequest, QuotaHeadroom, Slot, Standing, order, place
+from petrelthread.placement.occupancy import JobOccupancy
 
 TYPES, ZONES, IMAGES = 3, 3, 4
 
@@ -48,7 +49,7 @@
                 r.random() < 0.8,
                 single_zone,
                 spread_zones,
-                live,
+                JobOccupancy(live),
                 frozenset({0}) if r.random() < 0.1 else frozenset(),
                 not live and r.random() < 0.2,
             )
@@ -62,7 +63,7 @@
     """Task by task, looking at every machine each time."""
     placed: list[tuple[int, int]] = []
     for request in requests:
-        zones = dict(request.live_zones)
+        zones = dict(request.occupancy.zones)
         chosen = None
         if request.single_zone:
             if zones:
@@ -199,13 +200,13 @@
 def test_replicas_go_where_the_fewest_of_their_job_are(spread_zones: bool) -> None:
     """By the machine rule alone all went to the one machine that cached their image."""
     slots = [Slot(n, 0, n % 2, False, 16.0, 0.0, 64.0, {0} if n == 0 else set()) for n in range(4)]
-    beside = {0: 1}
+    occupancy = JobOccupancy({0: 1}, {0: 1})
     request = PlacementRequest(
-        0, 0, 5, 4, 1.0, 0.0, 1.0, 0, None, None, False, False, spread_zones, {0: 1}
-    )
-    got = place([request._replace(beside=beside)], slots, [QuotaHeadroom(99.0, 0.0)]).placed
+        0, 0, 5, 4, 1.0, 0.0, 1.0, 0, None, None, False, False, spread_zones, occupancy
+    )._replace(spread_machines=True)
+    got = place([request], slots, [QuotaHeadroom(99.0, 0.0)]).placed
     assert len(got) == 4
-    on = dict.fromkeys(range(4), 0) | beside
+    on = dict.fromkeys(range(4), 0) | {0: 1}
     zones = {0: 1, 1: 0}
     for _, machine in got:
         least = min(
--- a/petrelthread/placement/test_replica_room.py
+++ b/petrelthread/placement/test_replica_room.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from petrelthread.placement.occupancy import JobOccupancy
 from petrelthread.placement.place import PlacementRequest, Slot
 from petrelthread.placement.preempt import Victim
 from petrelthread.placement.replica_room import ReplicaNeed, RoomMaker
@@ -19,10 +20,24 @@
 
 
 def need(job: int, lacking: int, spread_zones: bool = False, tasks: int = 4) -> ReplicaNeed:
+    nowhere = JobOccupancy()
     request = PlacementRequest(
-        job, 0, tasks, lacking, 1.0, 0.0, 1.0, IMAGE, None, None, False, False, spread_zones, {}
-    )
-    return ReplicaNeed(request._replace(beside={}), PROD, True, lacking, ())
+        job,
+        0,
+        tasks,
+        lacking,
+        1.0,
+        0.0,
+        1.0,
+        IMAGE,
+        None,
+        None,
+        False,
+        False,
+        spread_zones,
+        nowhere,
+    )._replace(spread_machines=True)
+    return ReplicaNeed(request, PROD, True, lacking)
 
 
 def test_room_for_several_services_is_made_in_one_go() -> None:
--- a/petrelthread/placement/test_reservations.py
+++ b/petrelthread/placement/test_reservations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from petrelthread.placement.occupancy import JobOccupancy
 from petrelthread.placement.place import PlacementRequest, QuotaHeadroom, Slot
 from petrelthread.placement.reservations import reserve_machines
 
@@ -13,7 +14,10 @@
 
 
 def request(job: int, cores: float = 16.0, **more: object) -> PlacementRequest:
-    base = PlacementRequest(job, 0, 9, 1, cores, 0.0, 50.0, 0, None, None, True, False, False, {})
+    nowhere = JobOccupancy()
+    base = PlacementRequest(
+        job, 0, 9, 1, cores, 0.0, 50.0, 0, None, None, True, False, False, nowhere
+    )
     return base._replace(**more)  # type: ignore[arg-type]
 
 
--- /dev/null
+++ b/petrelthread/placement/test_start_check.py
@@ -0,0 +1,157 @@
+"""Each rule that a start can break is caught before the claim, whatever the decision was."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from petrelthread.fleet import Health, Machine
+from petrelthread.ledger import Job
+from petrelthread.placement.start_check import Start, Violation
+from petrelthread.placement.test_scheduler import EPOCH, Cluster, run
+from tests.world import job
+
+pytestmark = pytest.mark.refused_starts_expected
+A, B = "a", "b"
+
+
+class Case:
+    """A cluster with one machine in each of two zones and a job of four tasks."""
+
+    def __init__(self, cluster: Cluster, **spec: Any) -> None:
+        self.cluster = cluster
+        self.machines = {A: cluster.machine(1, A), B: cluster.machine(2, B)}
+        self.job: Job = cluster.accept(job("wk-000001", 4, cores=1.0, **spec))
+
+    def refused(self, *starts: tuple[int, str]) -> list[tuple[int, Violation]]:
+        """What the check refuses of starts given as task and zone."""
+        decided = [Start(self.job, task, self.machines[zone]) for task, zone in starts]
+        _, refused = self.cluster.scheduler.check.admit(decided)
+        return [(start.task, violation) for start, violation in refused]
+
+    def live(self, task: int, machine: Machine) -> None:
+        number = (EPOCH - 1) << 20
+        self.cluster.book.add_attempt(number, self.job, task, machine.index, 1)
+
+
+def test_what_is_allowed_passes() -> None:
+    def scenario(cluster: Cluster) -> None:
+        case = Case(cluster)
+        assert case.refused((0, A), (1, B), (2, A), (3, B)) == []
+
+    run(scenario)
+
+
+def test_starts_of_one_round_are_checked_together_with_what_is_live() -> None:
+    def scenario(cluster: Cluster) -> None:
+        case = Case(cluster, same_place=True)
+        assert case.refused((0, A), (1, B), (2, A)) == [(1, Violation.SINGLE_ZONE)]
+        case.live(3, case.machines[B])
+        assert case.refused((0, A), (1, B)) == [(0, Violation.SINGLE_ZONE)]
+
+    run(scenario)
+
+
+def test_a_spread_job_has_half_of_its_tasks_in_a_zone() -> None:
+    def scenario(cluster: Cluster) -> None:
+        case = Case(cluster, scatter=True)
+        assert case.refused((0, A), (1, A), (2, A), (3, B)) == [(2, Violation.SPREAD)]
+        case.live(3, case.machines[A])
+        assert case.refused((0, A), (1, A)) == [(1, Violation.SPREAD)]
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    ("flag", "violation"),
+    [("same_place", Violation.SINGLE_ZONE), ("scatter", Violation.SPREAD)],
+)
+def test_a_task_whose_zone_is_not_known_may_be_in_any(flag: str, violation: Violation) -> None:
+    """After a take-over a machine is not listed yet; or it is not even in the table."""
+
+    def scenario(cluster: Cluster) -> None:
+        case = Case(cluster, **{flag: True})
+        unlisted = cluster.fleet.machine("host-000009", 0.0)
+        case.live(0, unlisted)
+        case.live(1, unlisted)
+        assert case.refused((2, A)) == [(2, violation)]
+        del cluster.fleet.machines[unlisted.index]
+        assert case.refused((2, B)) == [(2, violation)]
+        # Nor does the decision itself start anything there.
+        assert cluster.zones_of_starts("wk-000001") == []
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    ("spec", "violation"),
+    [
+        ({"driftwood": False}, Violation.SPOT),
+        ({"roost": "b"}, Violation.ZONE),
+        ({"hulls": ["large"]}, Violation.MACHINE_TYPE),
+    ],
+)
+def test_a_machine_that_the_job_does_not_allow(spec: dict[str, Any], violation: Violation) -> None:
+    def scenario(cluster: Cluster) -> None:
+        assert Case(cluster, **spec).refused((0, A)) == [(0, violation)]
+
+    run(scenario)
+
+
+def test_a_team_stays_within_its_limit() -> None:
+    def scenario(cluster: Cluster) -> None:
+        case = Case(cluster)
+        limit = int(cluster.settings.cluster.teams[0].most_cores)
+        other = cluster.accept(job("wk-000002", 1, cores=limit - 2.0))
+        cluster.book.add_attempt(1, other, 0, case.machines[A].index, 1)
+        assert case.refused((0, A), (1, A), (2, B)) == [(2, Violation.TEAM_LIMIT)]
+
+    run(scenario)
+
+
+def test_a_task_is_started_once_and_only_while_it_is_wanted() -> None:
+    def scenario(cluster: Cluster) -> None:
+        case = Case(cluster)
+        case.live(0, case.machines[A])
+        cluster.book.mark_done(case.job, 1)
+        cluster.fleet.finished[case.job.index] = {2}
+        assert case.refused((0, A), (1, A), (2, A), (3, A), (3, B)) == [
+            (0, Violation.NOT_PENDING),
+            (1, Violation.NOT_PENDING),
+            (2, Violation.NOT_PENDING),
+            (3, Violation.DECIDED_TWICE),
+        ]
+        case.machines[B].move(Health.SILENT)
+        assert case.refused((3, B)) == [(3, Violation.MACHINE)]
+        cluster.book.finish("wk-000001", "aborted")
+        assert case.refused((3, A)) == [(3, Violation.CALLED_OFF)]
+
+    run(scenario)
+
+
+def test_a_gang_starts_whole_or_not_at_all() -> None:
+    def scenario(cluster: Cluster) -> None:
+        case = Case(cluster, shape="group", same_place=True)
+        refused = case.refused((0, A), (1, B), (2, A))
+        assert refused == [
+            (1, Violation.SINGLE_ZONE),
+            (0, Violation.GANG),
+            (2, Violation.GANG),
+        ]
+
+    run(scenario)
+
+
+def test_what_is_refused_is_not_claimed_and_is_said(caplog: pytest.LogCaptureFixture) -> None:
+    def scenario(cluster: Cluster) -> None:
+        case = Case(cluster, same_place=True)
+        decided = [Start(case.job, 0, case.machines[A]), Start(case.job, 1, case.machines[B])]
+        claim = cluster.scheduler.build_claim(decided, [], 0.0)
+        assert [record for _, record in claim.rounds] == [
+            [["host-000001", 1, [["wk-000001", [0]]]]]
+        ]
+
+    run(scenario)
+    assert [r.levelname for r in caplog.records] == ["ERROR"]
+    assert "wk-000001/1 on host-000002 left out" in caplog.text
--- a/petrelthread/placement/view.py
+++ b/petrelthread/placement/view.py
@@ -9,6 +9,7 @@
 from petrelthread import wire
 from petrelthread.fleet import Fleet, Health
 from petrelthread.ledger import Book, Job
+from petrelthread.placement.occupancy import JobOccupancy
 from petrelthread.placement.order import LATE_S, Standing, Turn, order
 from petrelthread.placement.place import EPS, PlacementRequest, Slot
 from petrelthread.settings import Settings
@@ -243,14 +244,9 @@
         return frozenset(failed_on) if 2 * len(failed_on) <= usable else frozenset()
 
     def request(self, job: Job) -> PlacementRequest:
-        live_zones: dict[int, int] = {}
-        beside: dict[int, int] = {}
-        if job.single_zone or job.spread_zones or job.service:
-            for attempt in job.live.values():
-                machine = self._fleet.machines.get(attempt.machine)
-                if machine is not None and not attempt.ended:
-                    live_zones[machine.zone] = live_zones.get(machine.zone, 0) + 1
-                    beside[machine.index] = beside.get(machine.index, 0) + 1
+        counted = job.single_zone or job.spread_zones or job.service
+        machines = self._fleet.machines
+        occupancy = JobOccupancy.of(job, machines) if counted else JobOccupancy()
         return PlacementRequest(
             job.index,
             job.team,
@@ -265,8 +261,8 @@
             job.spot,
             job.single_zone,
             job.spread_zones,
-            live_zones,
+            occupancy,
             self._avoid(job),
             job.gang,
-            beside if job.service else None,
+            job.service,
         )
