A claim holds with the fence of the moment it was asked for, or not at all

Claims read the fence anew for each repeat. Change: the fence is read once; a repeat goes out only while it still holds.

--- a/petrelthread/ledger/claims.py
+++ b/petrelthread/ledger/claims.py
@@ -35,6 +35,10 @@
 
     Each claim names a marker, a key that must not exist yet and that the claim creates. A repeat
     that fails on the marker proves that an earlier copy was applied.
+
+    A claim holds with the fence of the moment at which it was asked for, or not at all. What it
+    contains was decided on what was known in that epoch; if the lead is lost and won again while it
+    waits for its turn or for an answer, another leader may have acted in between.
     """
 
     def __init__(self, client: StateClient, fence: Fence) -> None:
@@ -52,10 +56,10 @@
         if marker is not None:
             conditions.append(wire.when(ROOT + marker, 0))
         unsure = False
+        fence = self._fence()
         async with self._lock:
             while True:
-                fence = self._fence()
-                if fence is None:
+                if fence is None or self._fence() != fence:
                     return Outcome.FENCED, ()
                 try:
                     await self._client.multi(fence + conditions, ops)
