Soak: real controllers over loopback under random faults, judged from outside

Change: petrelthread/emulator/ (state service, cloud, worker, judge from tests/world.py, which now shares them; links, processes, faults, workload, users, injector, soak) and run.py soak. The judge sees wrong_place in full, and asks a worker whose lease has run out to expire before it calls a second start ran_twice, as PROTOCOL has it for one that hangs. Server can listen on a socket that is bound already.

--- a/petrelthread/cli/main.py
+++ b/petrelthread/cli/main.py
@@ -6,6 +6,7 @@
 import logging
 import os
 import sys
+from dataclasses import replace
 from typing import Any
 
 from petrelthread import __version__
@@ -28,10 +29,34 @@
     check.add_argument("file", metavar="FILE", help="settings file (TOML)")
     commands.add_parser("version", help="print the version")
     commands.add_parser("warm", help="load the whole daemon once, so that it lies compiled")
+    _soak(commands)
     _operators(commands)
     return top
 
 
+def _positive(text: str) -> int:
+    number = int(text)
+    if number < 1:
+        raise argparse.ArgumentTypeError("must be 1 or more")
+    return number
+
+
+def _soak(commands: Any) -> None:
+    soak = commands.add_parser(
+        "soak", help="real controllers over loopback under random faults, judged from outside"
+    )
+    soak.add_argument("--seeds", type=_positive, default=1, help="how many (default: 1)")
+    soak.add_argument("--first-seed", type=int, default=1, help="the first one (default: 1)")
+    soak.add_argument(
+        "--seconds", type=_positive, default=40, help="of faults for each seed (default: 40)"
+    )
+    soak.add_argument("--controllers", type=_positive, default=3, help="(default: 3)")
+    soak.add_argument("--machines", type=_positive, default=12, help="(default: 12)")
+    soak.add_argument(
+        "--sources", metavar="DIR", help="the checkout whose controllers are run (default: this)"
+    )
+
+
 def _operators(commands: Any) -> None:
     common = argparse.ArgumentParser(add_help=False)
     common.add_argument("--json", action="store_true", help="print the answer as JSON")
@@ -66,6 +91,8 @@
         return 0
     if args.command == "check":
         return _check(args.file)
+    if args.command == "soak":
+        return _play_soak(args)
     if args.command in ("status", "zones", "why", "settings"):
         from petrelthread.cli.operate import operate
 
@@ -77,6 +104,20 @@
     return 2
 
 
+def _play_soak(args: argparse.Namespace) -> int:
+    from pathlib import Path
+
+    from petrelthread.emulator.soak import SoakOptions, play_seeds
+
+    options = SoakOptions(args.seconds, args.controllers, args.machines)
+    if args.sources:
+        options = replace(options, sources=Path(args.sources).resolve())
+    if not (options.sources / "run.py").is_file():
+        print(f"petrelthread: --sources: no run.py in {options.sources}", file=sys.stderr)
+        return 2
+    return play_seeds(range(args.first_seed, args.first_seed + args.seeds), options)
+
+
 def _check(path: str) -> int:
     from petrelthread.settings import SettingsError, load
 
--- /dev/null
+++ b/petrelthread/emulator/faults.py
@@ -0,0 +1,137 @@
+"""Faults of a soak: which there are, when they begin, and what they do to links and processes."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import NamedTuple
+
+STATE, CLOUD = "state", "cloud"  # names of the two services on links
+LATE_WRITE_S = (1.0, 6.0)  # a late transaction is carried out so much later
+LATE_COMMAND_S = (0.5, 8.0)
+LATE_REPORT_S = (1.0, 15.0)  # well over a lease, too
+
+
+class FaultKind(Enum):
+    """One kind of trouble."""
+
+    KILL_CONTROLLER = "kill"
+    KILL_ALL = "kill-all"
+    PAUSE_CONTROLLER = "pause"
+    CUT_FROM_STATE = "cut-from-state"
+    CUT_FROM_STATE_AND_PEERS = "cut-from-state-and-peers"
+    CUT_FROM_PEERS = "cut-from-peers"
+    REFUSED_BY_STATE = "refused-by-state"
+    STATE_OUTAGE = "state-outage"
+    LATE_WRITES = "late-writes"
+    LATE_COMMANDS = "late-commands"
+    LATE_REPORTS = "late-reports"
+    CLOUD_OUTAGE = "cloud-outage"
+    MACHINES_DIE = "machines-die"
+    MACHINE_HANGS = "machine-hangs"
+    MACHINE_NOT_RECEIVING = "machine-not-receiving"
+    MACHINE_NOT_SENDING = "machine-not-sending"
+    MACHINE_FAULTY = "machine-faulty"
+    ZONE_CUT = "zone-cut"
+
+
+# Seconds that each lasts, shortest and longest; of a kill, until the process is started again.
+DURATION_S: dict[FaultKind, tuple[float, float]] = {
+    FaultKind.KILL_CONTROLLER: (0.1, 3.0),
+    FaultKind.KILL_ALL: (0.1, 4.0),
+    FaultKind.PAUSE_CONTROLLER: (0.5, 9.0),
+    FaultKind.CUT_FROM_STATE: (1.0, 9.0),
+    FaultKind.CUT_FROM_STATE_AND_PEERS: (2.0, 12.0),
+    FaultKind.CUT_FROM_PEERS: (1.0, 9.0),
+    FaultKind.REFUSED_BY_STATE: (1.0, 8.0),
+    FaultKind.STATE_OUTAGE: (0.5, 8.0),
+    FaultKind.LATE_WRITES: (2.0, 8.0),
+    FaultKind.LATE_COMMANDS: (2.0, 8.0),
+    FaultKind.LATE_REPORTS: (2.0, 8.0),
+    FaultKind.CLOUD_OUTAGE: (1.0, 5.0),
+    FaultKind.MACHINES_DIE: (0.0, 0.0),
+    FaultKind.MACHINE_HANGS: (0.5, 10.0),
+    FaultKind.MACHINE_NOT_RECEIVING: (2.0, 12.0),
+    FaultKind.MACHINE_NOT_SENDING: (2.0, 12.0),
+    FaultKind.MACHINE_FAULTY: (5.0, 15.0),
+    FaultKind.ZONE_CUT: (2.0, 12.0),
+}
+
+
+class Fault(NamedTuple):
+    """One trouble: when it begins, in seconds since the start, and how long it lasts."""
+
+    kind: FaultKind
+    begins_s: float
+    lasts_s: float
+    draw: float  # 0 to 1: what it strikes, of all that it may
+
+
+def draw_faults(randomness: random.Random, seconds: float, every_s: float) -> list[Fault]:
+    """Faults for so many seconds, one each ``every_s`` in the mean; all end in time."""
+    faults = []
+    at = randomness.uniform(1.0, 2 * every_s)
+    kinds = list(FaultKind)
+    while at < seconds:
+        kind = randomness.choice(kinds)
+        lasts_s = min(randomness.uniform(*DURATION_S[kind]), seconds - at)
+        faults.append(Fault(kind, at, lasts_s, randomness.random()))
+        at += randomness.expovariate(1.0 / every_s)
+    return faults
+
+
+class Fate(NamedTuple):
+    """What becomes of one request."""
+
+    lost: bool = False
+    delay_s: float = 0.0
+    answer_lost: bool = False
+
+
+DELIVERED = Fate()
+
+
+@dataclass
+class LinkFaults:
+    """What is wrong with the links now. Ends of links are named after controllers and machines."""
+
+    randomness: random.Random
+    cut: set[frozenset[str]] = field(default_factory=set)
+    not_receiving: set[str] = field(
+        default_factory=set
+    )  # their requests arrive, nothing comes back
+    not_sending: set[str] = field(default_factory=set)  # they reach nobody, commands reach them
+    late_writes: float = 0.0  # share
+    late_commands: float = 0.0
+    late_reports: float = 0.0
+
+    def fate(self, source: str, destination: str, target: str) -> Fate:
+        """What becomes of a request on its way to a service or a machine."""
+        lost = destination in self.not_receiving or source in self.not_sending
+        if lost or frozenset((source, destination)) in self.cut:
+            return Fate(lost=True)
+        chance = self.randomness.random()
+        if destination == STATE and target == "/multi" and chance < self.late_writes:
+            late = self.randomness.random() < 0.5
+            delay_s = self.randomness.uniform(*LATE_WRITE_S) if late else 0.0
+            return Fate(delay_s=delay_s, answer_lost=True)
+        if target == "/do" and chance < self.late_commands:
+            return Fate(delay_s=self.randomness.uniform(*LATE_COMMAND_S), answer_lost=True)
+        if source in self.not_receiving or destination in self.not_sending:
+            # A machine that can't send still answers on connections that others have opened.
+            return Fate(answer_lost=source in self.not_receiving)
+        return DELIVERED
+
+    def copy_delay_s(self, target: str) -> float | None:
+        """Whether a copy of the request arrives again, and how much later."""
+        if target == "/checkin" and self.randomness.random() < self.late_reports:
+            return self.randomness.uniform(*LATE_REPORT_S)
+        return None
+
+    def heal(self) -> None:
+        """All links are well again."""
+        self.cut.clear()
+        self.not_receiving.clear()
+        self.not_sending.clear()
+        self.late_writes = self.late_commands = self.late_reports = 0.0
--- /dev/null
+++ b/petrelthread/emulator/injector.py
@@ -0,0 +1,194 @@
+"""Carries out the faults of a soak on processes, services, machines and links."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING, Any
+
+from petrelthread.emulator.faults import STATE, Fault, FaultKind
+
+if TYPE_CHECKING:
+    from petrelthread.emulator.processes import ControllerProcess
+    from petrelthread.emulator.soak import LoopbackWorld
+    from petrelthread.emulator.worker import Worker
+
+SHARE = 0.3  # of messages that a fault of links strikes
+DYING_MOST = 3  # machines that die at once
+
+Strike = Callable[[Fault], Awaitable[None]]
+
+
+class FaultInjector:
+    """Plays faults against one world. Each leaves things as they were before it."""
+
+    def __init__(self, world: LoopbackWorld) -> None:
+        self._world = world
+        self.played: Counter[str] = Counter()
+        self._down: set[str] = set()  # controllers that are to stay ended for now
+        kinds: dict[FaultKind, Strike] = {
+            FaultKind.KILL_CONTROLLER: self._kill_one,
+            FaultKind.KILL_ALL: self._kill_all,
+            FaultKind.PAUSE_CONTROLLER: self._pause,
+            FaultKind.CUT_FROM_STATE: self._cut_from_state,
+            FaultKind.CUT_FROM_STATE_AND_PEERS: self._cut_from_state_and_peers,
+            FaultKind.CUT_FROM_PEERS: self._cut_from_peers,
+            FaultKind.REFUSED_BY_STATE: self._refuse,
+            FaultKind.STATE_OUTAGE: self._state_outage,
+            FaultKind.CLOUD_OUTAGE: self._cloud_outage,
+            FaultKind.LATE_WRITES: self._late("late_writes"),
+            FaultKind.LATE_COMMANDS: self._late("late_commands"),
+            FaultKind.LATE_REPORTS: self._late("late_reports"),
+            FaultKind.MACHINES_DIE: self._machines_die,
+            FaultKind.MACHINE_HANGS: self._flag("frozen"),
+            FaultKind.MACHINE_FAULTY: self._flag("faulty"),
+            FaultKind.MACHINE_NOT_RECEIVING: self._machine_links("not_receiving"),
+            FaultKind.MACHINE_NOT_SENDING: self._machine_links("not_sending"),
+            FaultKind.ZONE_CUT: self._zone_cut,
+        }
+        self._strikes = kinds
+
+    async def play(self, fault: Fault, started_at: float) -> None:
+        """Wait for its time, strike, and end it."""
+        now = asyncio.get_running_loop().time()
+        await asyncio.sleep(max(0.0, started_at + fault.begins_s - now))
+        self.played[fault.kind.value] += 1
+        await self._strikes[fault.kind](fault)
+
+    def watch(self) -> None:
+        """Start again what has ended by itself."""
+        for controller in self._world.controllers:
+            if controller.name not in self._down:
+                controller.watch()
+
+    def _controller(self, fault: Fault) -> ControllerProcess:
+        controllers = self._world.controllers
+        return controllers[int(fault.draw * len(controllers))]
+
+    def _workers(self) -> list[Worker]:
+        machines = self._world.cloud.machines.values()
+        return [machine["worker"] for machine in machines if machine["worker"].up]
+
+    def _worker(self, fault: Fault) -> Worker | None:
+        workers = self._workers()
+        return workers[int(fault.draw * len(workers))] if workers else None
+
+    # ---- processes ---------------------------------------------------------------------------
+
+    async def _kill(self, controllers: list[ControllerProcess], lasts_s: float) -> None:
+        ending = [c for c in controllers if c.name not in self._down]
+        self._down |= {c.name for c in ending}
+        for controller in ending:
+            controller.kill()
+        await asyncio.sleep(lasts_s)
+        self._down -= {c.name for c in ending}
+        for controller in ending:
+            controller.start()
+
+    async def _kill_one(self, fault: Fault) -> None:
+        await self._kill([self._controller(fault)], fault.lasts_s)
+
+    async def _kill_all(self, fault: Fault) -> None:
+        await self._kill(self._world.controllers, fault.lasts_s)
+
+    async def _pause(self, fault: Fault) -> None:
+        controller = self._controller(fault)
+        controller.pause()
+        await asyncio.sleep(fault.lasts_s)
+        controller.resume()
+
+    # ---- services ----------------------------------------------------------------------------
+
+    async def _refuse(self, fault: Fault) -> None:
+        name = self._controller(fault).name
+        self._world.store.refused.add(name)
+        await asyncio.sleep(fault.lasts_s)
+        self._world.store.refused.discard(name)
+
+    async def _state_outage(self, fault: Fault) -> None:
+        self._world.store.outage(True)
+        await asyncio.sleep(fault.lasts_s)
+        self._world.store.outage(False)
+
+    async def _cloud_outage(self, fault: Fault) -> None:
+        self._world.cloud.down = True
+        await asyncio.sleep(fault.lasts_s)
+        self._world.cloud.down = False
+
+    # ---- links -------------------------------------------------------------------------------
+
+    async def _cut(self, links: set[frozenset[str]], lasts_s: float) -> None:
+        cut = self._world.faults.cut
+        new = links - cut
+        cut |= new
+        await asyncio.sleep(lasts_s)
+        cut -= new
+
+    def _links_to_peers(self, name: str) -> set[frozenset[str]]:
+        names = [controller.name for controller in self._world.controllers]
+        return {frozenset((name, other)) for other in names if other != name}
+
+    async def _cut_from_state(self, fault: Fault) -> None:
+        await self._cut({frozenset((self._controller(fault).name, STATE))}, fault.lasts_s)
+
+    async def _cut_from_peers(self, fault: Fault) -> None:
+        await self._cut(self._links_to_peers(self._controller(fault).name), fault.lasts_s)
+
+    async def _cut_from_state_and_peers(self, fault: Fault) -> None:
+        name = self._controller(fault).name
+        await self._cut(self._links_to_peers(name) | {frozenset((name, STATE))}, fault.lasts_s)
+
+    def _late(self, attribute: str) -> Strike:
+        async def strike(fault: Fault) -> None:
+            setattr(self._world.faults, attribute, SHARE)
+            await asyncio.sleep(fault.lasts_s)
+            setattr(self._world.faults, attribute, 0.0)
+
+        return strike
+
+    # ---- machines ----------------------------------------------------------------------------
+
+    async def _machines_die(self, fault: Fault) -> None:
+        for _ in range(1 + int(fault.draw * DYING_MOST)):
+            worker = self._worker(fault)
+            if worker is not None:
+                self._world.cloud.remove(worker.name)
+
+    def _flag(self, attribute: str) -> Strike:
+        async def strike(fault: Fault) -> None:
+            worker: Any = self._worker(fault)
+            if worker is None:
+                return
+            setattr(worker, attribute, True)
+            await asyncio.sleep(fault.lasts_s)
+            setattr(worker, attribute, False)
+
+        return strike
+
+    def _machine_links(self, attribute: str) -> Strike:
+        async def strike(fault: Fault) -> None:
+            worker = self._worker(fault)
+            if worker is None:
+                return
+            await self._on_links(attribute, {worker.name}, fault.lasts_s)
+
+        return strike
+
+    async def _zone_cut(self, fault: Fault) -> None:
+        zones = sorted({worker.machine["roost"] for worker in self._workers()})
+        if not zones:
+            return
+        zone = zones[int(fault.draw * len(zones))]
+        names = {w.name for w in self._workers() if w.machine["roost"] == zone}
+        await asyncio.gather(
+            self._on_links("not_receiving", names, fault.lasts_s),
+            self._on_links("not_sending", names, fault.lasts_s),
+        )
+
+    async def _on_links(self, attribute: str, names: set[str], lasts_s: float) -> None:
+        struck: set[str] = getattr(self._world.faults, attribute)
+        new = names - struck
+        struck |= new
+        await asyncio.sleep(lasts_s)
+        struck -= new
--- /dev/null
+++ b/petrelthread/emulator/loopback.py
@@ -0,0 +1,168 @@
+"""Links between real processes on the loopback interface, as far as the faults let them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+import orjson
+
+from petrelthread.emulator.faults import LinkFaults
+from petrelthread.emulator.world import Handler
+from petrelthread.http import Client, NoAnswer, Reply, Response, Server, answer
+
+HOST = "127.0.0.1"
+HANG_S = 60.0  # longer than anybody waits for an answer
+CONTROLLER = "controller"  # source of a direct command: which one is not known
+CONNECTIONS = 256  # that one stand-in takes
+CLIENT_SOCKETS = 16  # of a worker or user
+
+
+def ignore_cancelled(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    """Exception handler of a loop that ends with connections open. They are cancelled, and the
+    streams of asyncio report that as an error."""
+    if not isinstance(context.get("exception"), asyncio.CancelledError):
+        loop.default_exception_handler(context)
+
+
+def free_port() -> int:
+    """A port that nobody listens on now."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+class LoopbackNetwork:
+    """Stand-ins listen on ports of their own; each link is named, so that it can be cut."""
+
+    def __init__(self, faults: LinkFaults) -> None:
+        self._faults = faults
+        self._bound: dict[str, socket.socket] = {}
+        self._servers: dict[str, asyncio.Server] = {}
+        self._names: dict[str, str] = {}  # by address: who listens there
+        self._background: set[asyncio.Task[Any]] = set()
+
+    # ---- listening ---------------------------------------------------------------------------
+
+    def new_address(self, name: str) -> str:
+        """Reserve a port; nobody answers there before ``attach``."""
+        bound = socket.socket()
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound.bind((HOST, 0))
+        address = f"{HOST}:{bound.getsockname()[1]}"
+        self._bound[address] = bound
+        self._names[address] = name
+        return address
+
+    def name_address(self, address: str, name: str) -> None:
+        """Say who listens at an address that is not ours."""
+        self._names[address] = name
+
+    def attach(self, address: str, name: str, handler: Handler) -> None:
+        """Listen at a reserved address, for requests of any controller."""
+        self._background_task(self._listen(address, CONTROLLER, name, handler))
+
+    async def link(self, source: str, name: str, handler: Handler) -> str:
+        """Listen for the requests of one source; the address."""
+        address = self.new_address(name)
+        await self._listen(address, source, name, handler)
+        return address
+
+    def detach(self, address: str) -> None:
+        """Stop listening."""
+        server = self._servers.pop(address, None)
+        if server is not None:
+            server.close()
+        bound = self._bound.pop(address, None)
+        if bound is not None:
+            bound.close()
+
+    async def _listen(self, address: str, source: str, name: str, handler: Handler) -> None:
+        bound = self._bound.get(address)
+        if bound is None:
+            return  # detached meanwhile
+        server = Server(self._served(source, name, handler), CONNECTIONS)
+        self._servers[address] = await server.listen_on(bound)
+
+    def _served(
+        self, source: str, name: str, handler: Handler
+    ) -> Callable[[str, str, bytes], Awaitable[Response]]:
+        async def serve(method: str, target: str, body: bytes) -> Response:
+            fate = self._faults.fate(source, name, target)
+            if fate.lost:
+                await asyncio.sleep(HANG_S)
+            if fate.delay_s:
+                await asyncio.sleep(fate.delay_s)
+            status, content = await handler(
+                source, method, target, orjson.loads(body) if body else None
+            )
+            if fate.answer_lost:
+                await asyncio.sleep(HANG_S)
+            return answer(status, content)
+
+        return serve
+
+    # ---- asking ------------------------------------------------------------------------------
+
+    def requester(self, source: str) -> Callable[..., Awaitable[Reply]]:
+        """What carries the requests of a worker or user."""
+        client = Client(CLIENT_SOCKETS)
+
+        async def request(
+            address: str, method: str, target: str, body: Any = None, timeout: float = 2.0
+        ) -> Reply:
+            name = self._names.get(address, address)
+            copy_s = self._faults.copy_delay_s(target)
+            if copy_s is not None:
+                self._background_task(self._repeat(client, copy_s, address, method, target, body))
+            cut = frozenset((source, name)) in self._faults.cut
+            if cut or source in self._faults.not_sending:
+                await asyncio.sleep(timeout)
+                raise NoAnswer("lost on the way", True)
+            reply = await client.request(address, method, target, body, timeout)
+            if source in self._faults.not_receiving:
+                await asyncio.sleep(timeout)
+                raise NoAnswer("the answer was lost", True)
+            return reply
+
+        return request
+
+    @staticmethod
+    async def _repeat(
+        client: Client, delay_s: float, address: str, method: str, target: str, body: Any
+    ) -> None:
+        await asyncio.sleep(delay_s)
+        with contextlib.suppress(NoAnswer):  # nobody waits for it
+            await client.request(address, method, target, body)
+
+    def _background_task(self, work: Coroutine[Any, Any, Any]) -> None:
+        task = asyncio.ensure_future(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    def close(self) -> None:
+        """Stop everything."""
+        for task in self._background:
+            task.cancel()
+        for address in [*self._servers, *self._bound]:
+            self.detach(address)
+
+
+def forwarder(
+    requester: Callable[..., Awaitable[Reply]], address: str, timeout_s: float
+) -> Handler:
+    """A handler that passes requests on, as between two controllers."""
+
+    async def forward(source: str, method: str, target: str, body: Any) -> tuple[int, Any]:
+        try:
+            reply = await requester(address, method, target, body, timeout_s)
+        except NoAnswer:
+            await asyncio.sleep(timeout_s)
+            return 503, {"error": "no answer"}
+        return reply.status, orjson.loads(reply.body)
+
+    return forward
--- /dev/null
+++ b/petrelthread/emulator/processes.py
@@ -0,0 +1,133 @@
+"""Controllers as real processes on the loopback interface: settings, start, kill, pause."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+TEAMS = (("red", 4.0, 12.0), ("blue", 4.0, 8.0), ("guest", 0.0, 0.0))
+ZONES = ("a", "b", "c")
+REPORT_S = 0.5
+LEASE_S = 5.0
+CANCEL_S = 16.0
+LIST_LAG_S = 4.0
+TXN_OPS = 8
+
+
+@dataclass(frozen=True)
+class Addresses:
+    """Where one controller listens, and where it finds the others and the services."""
+
+    public: str
+    peer: str
+    state: str
+    cloud: str
+    siblings: tuple[tuple[str, str], ...]  # name and the address to reach it at
+
+
+def settings_text(name: str, zone: str, addresses: Addresses) -> str:
+    """The settings file of one controller."""
+    siblings = "".join(
+        f'[[siblings]]\nhost_name = "{sibling}"\npeer_addr = "{address}"\n'
+        for sibling, address in addresses.siblings
+    )
+    zones = ", ".join(f'"{z}"' for z in ZONES)
+    teams = "".join(
+        f'[[cluster.teams]]\nname = "{team}"\ncpus = {cpus}\ncpus_max = {most}\n'
+        for team, cpus, most in TEAMS
+    )
+    return f"""host_name = "{name}"
+zone = "{zone}"
+bind = "{addresses.public}"
+peer_listen = "{addresses.peer}"
+{siblings}[endpoints]
+cloud = "{addresses.cloud}"
+state = "{addresses.state}"
+[cluster]
+count = {1 + len(addresses.siblings)}
+zones = [{zones}]
+skew_ms = 100.0
+{teams}[[cluster.objectives]]
+kind = "finished"
+class = "batch"
+within_s = 60.0
+share = 0.8
+[[cluster.objectives]]
+kind = "wait"
+class = "rush"
+within_s = 5.0
+share = 0.8
+[cluster.workers]
+report_s = {REPORT_S}
+lease_s = {LEASE_S}
+cancel_s = {CANCEL_S}
+[cluster.state]
+rps = 400.0
+write_rps = 120.0
+value_kb = 4.0
+txn_ops = {TXN_OPS}
+[cluster.cloud]
+rps = 20.0
+list_lag_s = {LIST_LAG_S}
+"""
+
+
+class ControllerProcess:
+    """One controller; it may be killed, paused and started again with the same settings."""
+
+    def __init__(self, name: str, sources: Path, directory: Path, settings: str) -> None:
+        """``sources``: the checkout whose ``run.py`` is run. ``directory``: for settings and log;
+        ``settings``: the text of the settings file."""
+        self.name = name
+        self._sources = sources
+        self._settings = directory / f"{name}.toml"
+        self._settings.write_text(settings, encoding="utf-8")
+        self.log = directory / f"{name}.log"
+        self._process: subprocess.Popen[bytes] | None = None
+        self.unexpected_exits = 0
+
+    def start(self) -> None:
+        """Start it, unless it runs."""
+        if self.running:
+            return
+        command = [sys.executable, str(self._sources / "run.py"), "--config", str(self._settings)]
+        environment = {**os.environ, "LOG_LEVEL": "debug"}
+        environment.pop("PYTHONPATH", None)
+        with self.log.open("ab") as log:
+            self._process = subprocess.Popen(
+                command, cwd=self._sources, env=environment, stdin=subprocess.DEVNULL, stderr=log
+            )
+
+    @property
+    def running(self) -> bool:
+        """Whether the process exists, paused or not."""
+        return self._process is not None and self._process.poll() is None
+
+    def watch(self) -> None:
+        """Start it anew if it ended by itself, and count that."""
+        if self._process is not None and self._process.poll() is not None:
+            self.unexpected_exits += 1
+            self.start()
+
+    def kill(self) -> None:
+        """End it at once, paused or not."""
+        if self._process is not None:
+            self._process.kill()
+            self._process.wait()
+            self._process = None
+
+    def pause(self) -> None:
+        """It stands still while clocks run on."""
+        self._signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """It goes on."""
+        self._signal(signal.SIGCONT)
+
+    def _signal(self, number: signal.Signals) -> None:
+        if self.running and self._process is not None:
+            self._process.send_signal(number)
--- a/petrelthread/http/server.py
+++ b/petrelthread/http/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
@@ -19,6 +20,7 @@
 LINE_MOST = 8 * 1024
 STALE_S = 15.0
 BACKLOG = 1024
+READ_AHEAD = 128 * 1024  # bytes of a connection that may wait to be parsed
 
 
 class Response(NamedTuple):
@@ -65,7 +67,13 @@
 
     async def listen(self, host: str, port: int) -> asyncio.Server:
         return await asyncio.start_server(
-            self._serve, host, port, limit=128 * 1024, backlog=BACKLOG
+            self._serve, host, port, limit=READ_AHEAD, backlog=BACKLOG
+        )
+
+    async def listen_on(self, bound: socket.socket) -> asyncio.Server:
+        """Listen on a socket that is bound already."""
+        return await asyncio.start_server(
+            self._serve, sock=bound, limit=READ_AHEAD, backlog=BACKLOG
         )
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- /dev/null
+++ b/tests/test_emulator.py
@@ -0,0 +1,226 @@
+"""The stand-ins themselves: the judge sees what it is there for, the soak's command behaves."""
+
+from __future__ import annotations
+
+import os
+import random
+import signal
+import subprocess
+import sys
+import time
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from petrelthread.cli.main import main
+from petrelthread.emulator.faults import STATE, FaultKind, LinkFaults, draw_faults
+from petrelthread.emulator.soak import SeedResult, SoakOptions, shown
+from petrelthread.emulator.workload import draw_jobs
+from tests.virtual import play
+from tests.world import World, job
+
+ROOT = Path(__file__).parent.parent
+Scenario = Callable[[World], None]
+
+
+def judged(scenario: Scenario) -> list[str]:
+    """What the judge of a world holds against it after the scenario."""
+
+    async def run() -> list[str]:
+        world = World()
+        scenario(world)
+        return world.judge.broken
+
+    broken: list[str] = play(run())
+    return broken
+
+
+def start(world: World, leg: str, number: int, zone: str, **machine: Any) -> None:
+    host = {"name_id": f"host-{number:06d}", "roost": zone, "hull": "small", "driftwood": False}
+    world.judge.recorded.add(leg)
+    world.judge.started(leg, host | machine, 0.0)
+
+
+# ---- the judge -----------------------------------------------------------------------------------
+
+
+def test_a_single_zone_job_in_two_zones_is_seen() -> None:
+    def scenario(world: World) -> None:
+        world.jobs["wk-000001"] = job("wk-000001", 3, same_place=True)
+        start(world, "wk-000001/0", 1, "a")
+        start(world, "wk-000001/1", 2, "a")
+        assert not world.judge.broken
+        start(world, "wk-000001/2", 3, "b")
+
+    assert [text.partition(":")[0] for text in judged(scenario)] == ["wrong_place"]
+
+
+def test_a_single_zone_job_may_go_elsewhere_once_all_its_tasks_have_left() -> None:
+    def scenario(world: World) -> None:
+        world.jobs["wk-000001"] = job("wk-000001", 2, same_place=True)
+        start(world, "wk-000001/0", 1, "a")
+        world.judge.left("wk-000001/0", "host-000001")
+        start(world, "wk-000001/0", 2, "b")
+
+    assert judged(scenario) == []
+
+
+def test_more_than_half_of_a_spread_job_in_a_zone_is_seen() -> None:
+    def scenario(world: World) -> None:
+        world.jobs["wk-000001"] = job("wk-000001", 3, scatter=True)
+        start(world, "wk-000001/0", 1, "a")
+        start(world, "wk-000001/1", 2, "a")
+        assert not world.judge.broken
+        start(world, "wk-000001/2", 3, "a")
+
+    assert [text.partition(":")[0] for text in judged(scenario)] == ["wrong_place"]
+
+
+@pytest.mark.parametrize(
+    ("spec", "machine"),
+    [
+        ({"hulls": ["large"]}, {}),
+        ({"roost": "b"}, {}),
+        ({"driftwood": False}, {"driftwood": True}),
+    ],
+)
+def test_a_machine_that_the_job_does_not_allow_is_seen(
+    spec: dict[str, Any], machine: dict[str, Any]
+) -> None:
+    def scenario(world: World) -> None:
+        world.jobs["wk-000001"] = job("wk-000001", 1, **spec)
+        start(world, "wk-000001/0", 1, "a", **machine)
+
+    assert [text.partition(":")[0] for text in judged(scenario)] == ["wrong_place"]
+
+
+def test_a_start_without_a_record_and_a_second_start_are_seen() -> None:
+    def scenario(world: World) -> None:
+        world.jobs["wk-000001"] = job("wk-000001", 1)
+        start(world, "wk-000001/0", 1, "a")
+        world.judge.recorded.clear()
+        host = {"name_id": "host-000002", "roost": "a", "hull": "small", "driftwood": False}
+        world.judge.started("wk-000001/0", host, 0.0)
+
+    assert [text.partition(":")[0] for text in judged(scenario)] == ["ran_twice", "no record"]
+
+
+# ---- faults and workload -------------------------------------------------------------------------
+
+
+def test_a_seed_draws_the_same_faults_and_jobs_each_time() -> None:
+    def drawn(seed: int) -> tuple[Any, Any]:
+        randomness = random.Random(seed)
+        return draw_faults(randomness, 60.0, 2.0), draw_jobs(randomness, 40.0, ("a", "b"), 30, 5)
+
+    assert drawn(3) == drawn(3)
+    assert drawn(3) != drawn(4)
+
+
+def test_all_faults_end_in_time_and_all_kinds_come() -> None:
+    seen: Counter[FaultKind] = Counter()
+    for seed in range(40):
+        for fault in draw_faults(random.Random(seed), 40.0, 2.5):
+            assert 0 < fault.begins_s <= fault.begins_s + fault.lasts_s <= 40.0
+            seen[fault.kind] += 1
+    assert set(seen) == set(FaultKind)
+
+
+def test_the_workload_has_all_that_the_rules_speak_of() -> None:
+    jobs = [
+        planned
+        for seed in range(10)
+        for planned in draw_jobs(random.Random(seed), 40.0, ("a", "b"), 40, 6)
+    ]
+    assert {planned.spec["rank"] for planned in jobs} == {"low", "standard", "high", "prod"}
+    for wanted in ("same_place", "scatter", "roost", "driftwood"):
+        assert {bool(planned.spec[wanted]) for planned in jobs} == {True, False}
+    assert {planned.service for planned in jobs} == {True, False}
+    assert any(planned.submit_s < -150.0 and planned.spec["same_place"] for planned in jobs)
+    assert any(planned.cancel_after_s is not None for planned in jobs)
+
+
+def test_links_fail_as_they_are_told_to() -> None:
+    links = LinkFaults(random.Random(1))
+    assert links.fate("node-0", STATE, "/multi") == links.fate("node-0", "host-1", "/do")
+    links.cut.add(frozenset(("node-0", STATE)))
+    assert links.fate("node-0", STATE, "/multi").lost
+    assert not links.fate("node-1", STATE, "/multi").lost
+    links.not_receiving.add("host-1")
+    assert links.fate("controller", "host-1", "/do").lost
+    links.late_writes = links.late_reports = 1.0
+    assert links.fate("node-1", STATE, "/multi").answer_lost
+    assert links.copy_delay_s("/checkin") and links.copy_delay_s("/ready") is None
+    links.heal()
+    assert not links.fate("node-0", STATE, "/multi").lost
+    assert links.copy_delay_s("/checkin") is None
+
+
+# ---- the command ---------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ["--seeds", "0"],
+        ["--seconds", "-3"],
+        ["--machines", "many"],
+        ["--sources", "/nonexistent"],
+    ],
+)
+def test_wrong_arguments_end_with_2(
+    arguments: list[str], capsys: pytest.CaptureFixture[str]
+) -> None:
+    try:
+        code: int | str | None = main(["soak", *arguments])
+    except SystemExit as ended:
+        code = ended.code
+    assert code == 2
+    assert arguments[0] in capsys.readouterr().err
+
+
+def test_a_broken_rule_is_shown_with_evidence_and_the_command_that_plays_it_again() -> None:
+    result = SeedResult(7, jobs=3, done=2, broken=["quota: red"], evidence=["1.0 something"])
+    text = shown(result, SoakOptions(seconds=9.0, controllers=5, machines=6))
+    assert "seed 7: BROKEN" in text and "quota: red" in text and "1.0 something" in text
+    assert "soak --seeds 1 --first-seed 7 --seconds 9 --controllers 5 --machines 6" in text
+    assert "seed 7: ok" in shown(SeedResult(7), SoakOptions())
+
+
+def children_of(parent: int) -> list[int]:
+    found = []
+    for path in Path("/proc").glob("[0-9]*/stat"):
+        try:
+            fields = path.read_text().rpartition(")")[2].split()
+        except OSError:
+            continue  # it has just ended
+        if int(fields[1]) == parent:
+            found.append(int(path.parent.name))
+    return found
+
+
+def wait_for(met: Callable[[], bool], within_s: float = 30.0) -> bool:
+    end = time.monotonic() + within_s
+    while time.monotonic() < end:
+        if met():
+            return True
+        time.sleep(0.1)
+    return met()
+
+
+@pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM])
+def test_an_interrupt_ends_all_its_processes(number: signal.Signals) -> None:
+    command = [sys.executable, str(ROOT / "run.py"), "soak", "--seconds", "60"]
+    soak = subprocess.Popen(command, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+    try:
+        assert wait_for(lambda: len(children_of(soak.pid)) == 3)
+        children = children_of(soak.pid)
+        soak.send_signal(number)
+        assert soak.wait(30.0) == 130
+    finally:
+        soak.kill()
+        soak.wait()
+    assert wait_for(lambda: not any(os.path.exists(f"/proc/{child}") for child in children))
