Soak: faults strike the leader more often; logs with times; a hanging machine past its lease

The controllers' logs show the starts of three machines superseded by their leases; one of them hung from 25.0 to 32.6 s of the soak, and the judge, at 31.6 s, still counted its tasks, which can't go on past their lease. The judge was wrong, not the controllers. Lines of the controllers carry the judge's clock. Kills, pauses and cuts of a controller strike the leader in 60 of 100 draws; late messages come later.

--- a/petrelthread/emulator/faults.py
+++ b/petrelthread/emulator/faults.py
@@ -9,7 +9,7 @@
 
 STATE, CLOUD = "state", "cloud"  # names of the two services on links
 LATE_WRITE_S = (1.0, 6.0)  # a late transaction is carried out so much later
-LATE_COMMAND_S = (0.5, 8.0)
+LATE_COMMAND_S = (1.0, 12.0)  # past an election and what the next leader settles
 LATE_REPORT_S = (1.0, 15.0)  # well over a lease, too
 
 
@@ -46,9 +46,9 @@
     FaultKind.CUT_FROM_PEERS: (1.0, 9.0),
     FaultKind.REFUSED_BY_STATE: (1.0, 8.0),
     FaultKind.STATE_OUTAGE: (0.5, 8.0),
-    FaultKind.LATE_WRITES: (2.0, 8.0),
-    FaultKind.LATE_COMMANDS: (2.0, 8.0),
-    FaultKind.LATE_REPORTS: (2.0, 8.0),
+    FaultKind.LATE_WRITES: (4.0, 12.0),
+    FaultKind.LATE_COMMANDS: (4.0, 12.0),
+    FaultKind.LATE_REPORTS: (4.0, 12.0),
     FaultKind.CLOUD_OUTAGE: (1.0, 5.0),
     FaultKind.MACHINES_DIE: (0.0, 0.0),
     FaultKind.MACHINE_HANGS: (0.5, 10.0),
--- a/petrelthread/emulator/injector.py
+++ b/petrelthread/emulator/injector.py
@@ -14,6 +14,7 @@
     from petrelthread.emulator.soak import LoopbackWorld
     from petrelthread.emulator.worker import Worker
 
+LEADER_SHARE = 0.6  # of faults of a controller that strike the leader
 SHARE = 0.3  # of messages that a fault of links strikes
 DYING_MOST = 3  # machines that die at once
 
@@ -63,7 +64,13 @@
                 controller.watch()
 
     def _controller(self, fault: Fault) -> ControllerProcess:
+        """The leader as often as any other: most of what can go wrong is in its hands."""
         controllers = self._world.controllers
+        if fault.draw < LEADER_SHARE:
+            leader = self._world.leader
+            for controller in controllers:
+                if controller.name == leader:
+                    return controller
         return controllers[int(fault.draw * len(controllers))]
 
     def _workers(self) -> list[Worker]:
--- a/petrelthread/emulator/processes.py
+++ b/petrelthread/emulator/processes.py
@@ -6,8 +6,11 @@
 import signal
 import subprocess
 import sys
+import threading
+import time
 from dataclasses import dataclass
 from pathlib import Path
+from typing import IO
 
 TEAMS = (("red", 4.0, 12.0), ("blue", 4.0, 8.0), ("guest", 0.0, 0.0))
 ZONES = ("a", "b", "c")
@@ -76,6 +79,15 @@
 """
 
 
+def stamp_lines(source: IO[bytes], path: Path) -> None:
+    """Write each line with the time at which it came, on the clock that the judge uses, in seconds.
+    Ends with the process that writes to ``source``."""
+    with path.open("ab") as log, source:
+        for line in source:
+            log.write(f"{time.monotonic():10.3f} ".encode() + line)
+            log.flush()
+
+
 class ControllerProcess:
     """One controller; it may be killed, paused and started again with the same settings."""
 
@@ -97,10 +109,17 @@
         command = [sys.executable, str(self._sources / "run.py"), "--config", str(self._settings)]
         environment = {**os.environ, "LOG_LEVEL": "debug"}
         environment.pop("PYTHONPATH", None)
-        with self.log.open("ab") as log:
-            self._process = subprocess.Popen(
-                command, cwd=self._sources, env=environment, stdin=subprocess.DEVNULL, stderr=log
-            )
+        self._process = subprocess.Popen(
+            command,
+            cwd=self._sources,
+            env=environment,
+            stdin=subprocess.DEVNULL,
+            stderr=subprocess.PIPE,
+        )
+        assert self._process.stderr is not None
+        threading.Thread(
+            target=stamp_lines, args=(self._process.stderr, self.log), daemon=True
+        ).start()
 
     @property
     def running(self) -> bool:
--- a/petrelthread/emulator/soak.py
+++ b/petrelthread/emulator/soak.py
@@ -49,7 +49,7 @@
 from petrelthread.settings import UNLIMITED, Workers
 from petrelthread.store import ROOT
 
-FAULT_EVERY_S = 2.5
+FAULT_EVERY_S = 1.5
 JOBS_PER_S = 1.0
 BACKLOG = 6
 SUBMIT_SHARE = 0.8  # of the time of faults in which jobs are submitted
@@ -210,6 +210,12 @@
             self.store.put(f"{ROOT}j/{job.job_id}", value)
             self.judge.told(job.job_id, 201, {"status": "queued"})
 
+    @property
+    def leader(self) -> str | None:
+        """Whom the state service has as the leader."""
+        value = self.store.keys.get(f"{ROOT}lead")
+        return None if value is None else str(value[0]["node"])
+
     def close(self) -> None:
         """End all processes, machines and links."""
         for controller in self.controllers:
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
 import random
 import signal
@@ -18,6 +19,7 @@
 from petrelthread.cli.main import main
 from petrelthread.emulator.faults import STATE, FaultKind, LinkFaults, draw_faults
 from petrelthread.emulator.soak import SeedResult, SoakOptions, shown
+from petrelthread.emulator.worker import Worker
 from petrelthread.emulator.workload import draw_jobs
 from tests.virtual import play
 from tests.world import World, job
@@ -108,6 +110,36 @@
     assert [text.partition(":")[0] for text in judged(scenario)] == ["ran_twice", "no record"]
 
 
+def test_tasks_of_a_hanging_machine_count_until_its_lease_has_run_out() -> None:
+    """Past it they can't go on: a soak (seed 101) took them for part of their team's use, though
+    the leader had rightly begun others in their place."""
+
+    async def run() -> list[str]:
+        world = World()
+        world.jobs["wk-000001"] = job("wk-000001", 6)  # all that the team may use
+        world.jobs["wk-000002"] = job("wk-000002", 1)
+        host = {"name_id": "host-000001", "roost": "a", "hull": "small", "driftwood": False}
+        hanging = Worker(world, host | {"addr": "host-000001:9"})
+        world.cloud.machines["host-000001"] = {**host, "at": 1e9, "worker": hanging}
+        hanging.task.cancel()  # it does nothing by itself any more
+        hanging.up = hanging.frozen = True
+        hanging.answered = asyncio.get_running_loop().time()
+        for task in range(6):
+            leg = f"wk-000001/{task}"
+            hanging.tasks[leg] = {"try": 1, "status": "running", "at": 0.0}
+            start(world, leg, 1, "a")
+        await asyncio.sleep(world.workers.lease_s - 0.5)
+        start(world, "wk-000002/0", 2, "a")
+        assert [text.partition(":")[0] for text in world.judge.broken] == ["quota"]
+        world.judge.left("wk-000002/0", "host-000002")
+        await asyncio.sleep(1.0)
+        start(world, "wk-000002/0", 2, "a")
+        assert not any(world.judge.on[f"wk-000001/{task}"] for task in range(6))
+        return world.judge.broken[1:]
+
+    assert play(run()) == []
+
+
 # ---- faults and workload -------------------------------------------------------------------------
 
 
