--- a/petrelthread/cli/main.py
+++ b/petrelthread/cli/main.py
@@ -29,6 +29,7 @@
     check.add_argument("file", metavar="FILE", help="settings file (TOML)")
     commands.add_parser("version", help="print the version")
     commands.add_parser("warm", help="load the whole daemon once, so that it lies compiled")
+    commands.add_parser("demo", help="a whole service on loopback, and the end of its leader")
     _soak(commands)
     _operators(commands)
     return top
@@ -91,6 +92,10 @@
         return 0
     if args.command == "check":
         return _check(args.file)
+    if args.command == "demo":
+        from petrelthread.emulator.demo import play_demo
+
+        return play_demo()
     if args.command == "soak":
         return _play_soak(args)
     if args.command in ("status", "zones", "why", "settings"):
--- a/petrelthread/emulator/faults.py
+++ b/petrelthread/emulator/faults.py
@@ -68,19 +68,40 @@
     draw: float  # 0 to 1: what it strikes, of all that it may
 
 
+# Messages that come late do harm when the leader changes before they do.
+LATE_KINDS = (FaultKind.LATE_WRITES, FaultKind.LATE_COMMANDS, FaultKind.LATE_REPORTS)
+LEADER_ENDS = (
+    FaultKind.KILL_CONTROLLER,
+    FaultKind.PAUSE_CONTROLLER,
+    FaultKind.CUT_FROM_STATE_AND_PEERS,
+)
+MEETING_SHARE = 0.6  # of late messages that meet the end of the leader
+STRIKES_LEADER = 0.0  # the draw that strikes the leader, if there is one
+
+
 def draw_faults(randomness: random.Random, seconds: float, every_s: float) -> list[Fault]:
     """Faults for so many seconds, one each ``every_s`` in the mean; all end in time."""
     faults = []
     at = randomness.uniform(1.0, 2 * every_s)
     kinds = list(FaultKind)
     while at < seconds:
-        kind = randomness.choice(kinds)
-        lasts_s = min(randomness.uniform(*DURATION_S[kind]), seconds - at)
-        faults.append(Fault(kind, at, lasts_s, randomness.random()))
+        fault = _draw_fault(randomness, randomness.choice(kinds), at, seconds)
+        faults.append(fault)
+        if fault.kind in LATE_KINDS and randomness.random() < MEETING_SHARE:
+            meets_at = at + randomness.uniform(0.2, 1.0) * fault.lasts_s
+            meeting = _draw_fault(randomness, randomness.choice(LEADER_ENDS), meets_at, seconds)
+            faults.append(meeting._replace(draw=STRIKES_LEADER))
         at += randomness.expovariate(1.0 / every_s)
     return faults
 
 
+def _draw_fault(
+    randomness: random.Random, kind: FaultKind, begins_s: float, seconds: float
+) -> Fault:
+    lasts_s = min(randomness.uniform(*DURATION_S[kind]), seconds - begins_s)
+    return Fault(kind, begins_s, lasts_s, randomness.random())
+
+
 class Fate(NamedTuple):
     """What becomes of one request."""
 
