Scheduler.decide in steps: requests, headroom, placing, starts

Change: RoundRequests and four methods; Heartbeats._read_worker, which greets a sibling, is _greet. No behaviour changes.

--- a/petrelthread/peers/heartbeat.py
+++ b/petrelthread/peers/heartbeat.py
@@ -75,9 +75,9 @@
         return answer(200, msgspec.to_builtins(mine))
 
     async def run(self) -> None:
-        await asyncio.gather(*(self._read_worker(sibling) for sibling in self._siblings))
+        await asyncio.gather(*(self._greet(sibling) for sibling in self._siblings))
 
-    async def _read_worker(self, sibling: Sibling) -> None:
+    async def _greet(self, sibling: Sibling) -> None:
         while True:
             body = msgspec.to_builtins(self._mine())
             asked_at = asyncio.get_running_loop().time()
--- a/petrelthread/placement/scheduler.py
+++ b/petrelthread/placement/scheduler.py
@@ -5,7 +5,8 @@
 import asyncio
 import logging
 import time
-from collections.abc import Awaitable, Callable
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -23,7 +24,7 @@
     pack_done,
     pack_round,
 )
-from petrelthread.placement.place import PlacementRequest, QuotaHeadroom, place
+from petrelthread.placement.place import PlacementRequest, QuotaHeadroom, Slot, place
 from petrelthread.placement.reservations import reserve_machines
 from petrelthread.placement.start_check import Start, StartCheck
 from petrelthread.placement.stops import Stops
@@ -56,7 +57,18 @@
     more: bool = False  # some of it had to wait for the next round
 
 
+@dataclass
+class RoundRequests:
+    """What one round is asked to place."""
+
+    late: list[PlacementRequest] = field(default_factory=list)  # one task each of overdue jobs
+    in_turn: list[PlacementRequest] = field(default_factory=list)
+    guaranteed: dict[int, bool] = field(default_factory=dict)  # by job: within its guarantee
+
+
 class Scheduler:
+    """Decides, claims and dispatches one round after the other; only the leader runs it."""
+
     def __init__(
         self,
         settings: Settings,
@@ -103,72 +115,101 @@
 
     def decide(self, now: float) -> tuple[list[Start], list[Attempt]]:
         """What to start, and what to stop to make room."""
-        requests: list[PlacementRequest] = []
-        late: list[PlacementRequest] = []  # one task each of jobs that should have begun
-        guaranteed: dict[int, bool] = {}
-        for index, inside, _, overdue in self._view.turns():
-            job = self._book.jobs[index]
-            guaranteed[index] = inside
-            if job.gang and job.live:
-                continue  # its other tasks are still there: they end, and all start anew together
-            if job.pending > 0 and now >= job.not_before:
-                request = self._view.request(job)
-                if self._fleet.suspect(job) and not job.gang:
-                    if not job.live:
-                        requests.append(request._replace(pending=1))
-                    continue
-                if overdue and not job.gang:
-                    # It should have begun: one task goes before all else, the others in turn.
-                    late.append(request._replace(pending=1, zone_tasks=request.pending))
-                    request = request._replace(pending=request.pending - 1)
-                requests.append(request)
-        requests = late + requests
+        wanted = self._requests(now)
+        requests = wanted.late + wanted.in_turn
         if not requests:
             return [], []
         slots, surplus = self._view.slots(min(request.cores for request in requests))
-        free = list(slots.values())
         use = self._view.team_use()
-        teams = [
-            QuotaHeadroom(team.most_cores - use[i][0], team.most_accelerators - use[i][1])
-            for i, team in enumerate(self._view.teams)
+        teams = self._headroom(use)
+        self._reserve_machines(wanted.late, teams)
+        reserved = set(self.reserved.values())
+        slots = {index: slot for index, slot in slots.items() if index not in reserved}
+        placed, complete = self._place(requests, list(slots.values()), surplus, teams)
+        starts = self._starts(placed)
+        if not complete:
+            return starts, []
+        machines: dict[int, list[int]] = {}  # by job: those that got a task of it
+        for job_index, machine_index in placed:
+            machines.setdefault(job_index, []).append(machine_index)
+        stops = self._stops.for_room(
+            requests, wanted.guaranteed, machines, teams, slots, use, reserved, now
+        )
+        return starts, stops
+
+    def _requests(self, now: float) -> RoundRequests:
+        """What the open jobs want placed, in the order in which they are served."""
+        wanted = RoundRequests()
+        for index, inside, _, overdue in self._view.turns():
+            job = self._book.jobs[index]
+            wanted.guaranteed[index] = inside
+            if job.gang and job.live:
+                continue  # its other tasks are still there: they end, and all start anew together
+            if job.pending <= 0 or now < job.not_before:
+                continue
+            request = self._view.request(job)
+            if self._fleet.suspect(job) and not job.gang:
+                if not job.live:
+                    wanted.in_turn.append(request._replace(pending=1))
+                continue
+            if overdue and not job.gang:
+                # It should have begun: one task goes before all else, the others in turn. Both
+                # requests share the account of where the job's tasks are.
+                wanted.late.append(request._replace(pending=1, zone_tasks=request.pending))
+                request = request._replace(pending=request.pending - 1)
+            wanted.in_turn.append(request)
+        return wanted
+
+    def _headroom(self, use: list[tuple[float, float]]) -> list[QuotaHeadroom]:
+        """What each team may still use; ``use``: cores and accelerators that it uses now."""
+        return [
+            QuotaHeadroom(team.most_cores - cores, team.most_accelerators - accelerators)
+            for team, (cores, accelerators) in zip(self._view.teams, use, strict=False)
         ]
-        self._reserve_machines(late, teams)
-        kept = set(self.reserved.values())
-        free = [slot for slot in free if slot.machine not in kept]
+
+    def _place(
+        self,
+        requests: list[PlacementRequest],
+        free: list[Slot],
+        surplus: list[Slot],
+        teams: list[QuotaHeadroom],
+    ) -> tuple[list[tuple[int, int]], bool]:
+        """Job and machine of each task placed, and whether all requests were looked at.
+
+        What is left goes on surplus machines, but for jobs with rules about where their tasks are
+        in relation to each other.
+        """
         clock = asyncio.get_running_loop().time
         stop_at = clock() + self.budget_s
         done = place(requests, free, teams, self._cursor, lambda: clock() >= stop_at)
         self._cursor = done.next_start
-        slots = {slot.machine: slot for slot in free}
         if done.next_start:
             self.wake.set()
-        elif surplus:
-            placed_so_far: dict[int, int] = {}
-            for job_index, _ in done.placed:
-                placed_so_far[job_index] = placed_so_far.get(job_index, 0) + 1
-            rest = [
-                request._replace(pending=request.pending - placed_so_far.get(request.job, 0))
-                for request in requests
-                if request.pending > placed_so_far.get(request.job, 0)
-                and not request.single_zone
-                and not request.spread_zones
-                and not request.whole
-            ]
-            done.placed.extend(place(rest, surplus, teams).placed)
-        placements: list[Start] = []
-        tasks: dict[int, Any] = {}
-        placed: dict[int, list[int]] = {}  # by job: the machines that got a task of it
-        for job_index, machine_index in done.placed:
+            return done.placed, False
+        if not surplus:
+            return done.placed, True
+        so_far = Counter(job_index for job_index, _ in done.placed)
+        rest = [
+            request._replace(pending=request.pending - so_far[request.job])
+            for request in requests
+            if request.pending > so_far[request.job]
+            and not request.single_zone
+            and not request.spread_zones
+            and not request.whole
+        ]
+        return done.placed + place(rest, surplus, teams).placed, True
+
+    def _starts(self, placed: list[tuple[int, int]]) -> list[Start]:
+        """Which task of each job goes to each of its machines."""
+        tasks: dict[int, Iterator[int]] = {}
+        starts = []
+        for job_index, machine_index in placed:
             job = self._book.jobs[job_index]
             if job_index not in tasks:
                 tasks[job_index] = job.pending_tasks()
             machine = self._fleet.machines[machine_index]
-            placements.append(Start(job, next(tasks[job_index]), machine))
-            placed.setdefault(job_index, []).append(machine_index)
-        if done.next_start:
-            return placements, []
-        stops = self._stops.for_room(requests, guaranteed, placed, teams, slots, use, kept, now)
-        return placements, stops
+            starts.append(Start(job, next(tasks[job_index]), machine))
+        return starts
 
     def _reserve_machines(self, late: list[PlacementRequest], teams: list[QuotaHeadroom]) -> None:
         before = self.reserved
