Machine types by their standard name; PROTOCOL's word stays in wire

`hull` stood in nine modules outside wire. Change: wire.MachineType with whole names (price, spot_price, boot_s, zones) and the wire's words as encoded names; catalogue, report and list likewise. What is stored and sent keeps its bytes.

--- a/petrelthread/controller.py
+++ b/petrelthread/controller.py
@@ -88,7 +88,9 @@
         claims = Claims(state, self.election.fence)
         self._claims = claims
         estimates = Estimates()
-        self.view = View(settings, self.book, self.fleet, lambda: self.provisioner.hulls, estimates)
+        self.view = View(
+            settings, self.book, self.fleet, lambda: self.provisioner.machine_types, estimates
+        )
         self.dispatch = Dispatch(self.fleet, commands or request, commands_at_once)
         self.dispatch.may_start = lambda: self.election.starting
         self.scheduler = Scheduler(
@@ -137,8 +139,8 @@
         self._silent_s = 2.5 * workers.report_s + 4.0
 
     def _cache_gb(self, kind: int) -> float:
-        hull = self.provisioner.hulls.get(kind)
-        return hull.local_gb if hull else 1e9
+        machine_type = self.provisioner.machine_types.get(kind)
+        return machine_type.local_gb if machine_type else 1e9
 
     # ---- what the state service shows ----------------------------------------------------------
 
@@ -394,7 +396,7 @@
                 if self.election.leading:
                     await self.provisioner.step(now)
                     await self._store_catalog()
-                elif not self.provisioner.hulls and now - started > CATALOG_OWN_S:
+                elif not self.provisioner.machine_types and now - started > CATALOG_OWN_S:
                     await self.provisioner.read_catalog(now)
             except Exception:
                 log.exception("rental step failed")
@@ -402,7 +404,7 @@
 
     async def _store_catalog(self) -> None:
         """So that a controller started while the cloud is down still knows the machine types."""
-        if self.book.catalog is not None or not self.provisioner.hulls:
+        if self.book.catalog is not None or not self.provisioner.machine_types:
             return
         value = msgspec.to_builtins(wire.Catalog(self.provisioner.catalog() or ()))
         if len(msgspec.json.encode(value)) > self.settings.cluster.state.value_kb * 1000:
--- a/petrelthread/fleet/table.py
+++ b/petrelthread/fleet/table.py
@@ -239,10 +239,10 @@
         machine.session, machine.tick = report.flight, report.tick
         machine.seen_token = max(machine.seen_token, report.baton)
         machine.addr = report.addr or machine.addr
-        if report.hull:
-            machine.type = names.types.index(report.hull)
-        if report.roost:
-            machine.zone = names.zones.index(report.roost)
+        if report.machine_type:
+            machine.type = names.types.index(report.machine_type)
+        if report.zone:
+            machine.zone = names.zones.index(report.zone)
         machine.spot = report.driftwood
         self._health(machine, report, now, answered)
         for key, token in list(machine.uncertain_starts.items()):
--- a/petrelthread/intake/checks.py
+++ b/petrelthread/intake/checks.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from petrelthread.settings import Team
-from petrelthread.wire import ARRAY, Hull, JobSpec
+from petrelthread.wire import ARRAY, JobSpec, MachineType
 
 EPS = 1e-9
 
@@ -20,7 +20,9 @@
     """Machine types are not known yet."""
 
 
-def check_runnable(spec: JobSpec, teams: dict[str, Team], hulls: tuple[Hull, ...] | None) -> None:
+def check_runnable(
+    spec: JobSpec, teams: dict[str, Team], machine_types: tuple[MachineType, ...] | None
+) -> None:
     team = teams.get(spec.crew)
     if team is None:
         raise CannotRun(f"unknown team {spec.crew}")
@@ -33,17 +35,17 @@
         raise CannotRun(
             f"takes {accelerators:g} accelerators at once, team limit is {team.gpus_max:g}"
         )
-    if hulls is None:
+    if machine_types is None:
         raise NotYetKnown("machine types are not known yet")
-    for hull in hulls:
-        if spec.hulls is not None and hull.sku not in spec.hulls:
+    for machine_type in machine_types:
+        if spec.hulls is not None and machine_type.name not in spec.hulls:
             continue
-        if spec.roost is not None and spec.roost not in hull.roosts:
+        if spec.roost is not None and spec.roost not in machine_type.zones:
             continue
         if (
-            spec.cores <= hull.cores + EPS
-            and spec.accelerators <= hull.accelerators + EPS
-            and spec.ram_gb <= hull.ram_gb + EPS
+            spec.cores <= machine_type.cores + EPS
+            and spec.accelerators <= machine_type.accelerators + EPS
+            and spec.ram_gb <= machine_type.ram_gb + EPS
         ):
             return
     raise CannotRun("a task fits no allowed machine type")
--- a/petrelthread/intake/intake.py
+++ b/petrelthread/intake/intake.py
@@ -43,14 +43,14 @@
         book: Book,
         watch_cache: WatchCache,
         client: StateClient,
-        hulls: Callable[[], tuple[wire.Hull, ...] | None],
+        machine_types: Callable[[], tuple[wire.MachineType, ...] | None],
     ) -> None:
         self._teams = {team.name: team for team in settings.cluster.teams}
         self._limits = settings.cluster.state
         self._book = book
         self._watch_cache = watch_cache
         self._client = client
-        self._hulls = hulls
+        self._machine_types = machine_types
         self._queue: list[tuple[wire.JobSpec, list[Any], asyncio.Future[int]]] = []
         self._flushing: asyncio.Task[None] | None = None
 
@@ -84,7 +84,7 @@
         try:
             if len(orjson.dumps(value)) > self._limits.value_kb * 1000:
                 raise TooLarge("the description is too large to keep")
-            check_runnable(spec, self._teams, self._hulls())
+            check_runnable(spec, self._teams, self._machine_types())
         except (TooLarge, CannotRun, NotYetKnown) as error:
             # The watch cache may lag behind: an accepted job must never be told that it cannot run.
             if not await self._watch_cache.fresh():
--- a/petrelthread/placement/test_scheduler.py
+++ b/petrelthread/placement/test_scheduler.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, cast
 
+import msgspec
+
 from petrelthread import wire
 from petrelthread.fleet import Dispatch, Fleet, Health, Machine
 from petrelthread.ledger import Book, Claims, Job, NamesBook
@@ -32,9 +34,9 @@
         self.book = Book(self.names)
         self.fleet = Fleet(self.book, lease_s=10.0, report_s=1.0, hold_over_s=20.0)
         self.fleet.epoch = EPOCH
-        hull = wire.Hull(**HULLS[0])
-        hulls = {self.names.types.index(hull.sku): hull}
-        view = View(self.settings, self.book, self.fleet, lambda: hulls, Estimates())
+        small = msgspec.convert(HULLS[0], wire.MachineType)
+        types = {self.names.types.index(small.name): small}
+        view = View(self.settings, self.book, self.fleet, lambda: types, Estimates())
 
         async def refresh() -> bool:
             return True
--- a/petrelthread/placement/view.py
+++ b/petrelthread/placement/view.py
@@ -55,12 +55,12 @@
         settings: Settings,
         book: Book,
         fleet: Fleet,
-        hulls: Callable[[], dict[int, wire.Hull]],
+        machine_types: Callable[[], dict[int, wire.MachineType]],
         estimates: Estimates,
     ) -> None:
         self._book = book
         self._fleet = fleet
-        self._hulls = hulls
+        self._machine_types = machine_types
         self.estimates = estimates
         self.teams = settings.cluster.teams
         self._guarantees = [(t.cpus, t.gpus) for t in self.teams]
@@ -80,13 +80,13 @@
         """
         out: dict[int, Slot] = {}
         surplus: list[Slot] = []
-        hulls = self._hulls()
+        machine_types = self._machine_types()
         for machine in self._fleet.machines.values():
-            hull = hulls.get(machine.type)
-            if hull is None:
+            machine_type = machine_types.get(machine.type)
+            if machine_type is None:
                 continue
             taken = self._book.use.machine(machine.index)
-            cores = hull.cores - taken.cores
+            cores = machine_type.cores - taken.cores
             if cores + EPS < least_cores or not self._fleet.may_serve(machine):
                 continue
             images = set(machine.images)
@@ -99,8 +99,8 @@
                 machine.zone,
                 machine.spot,
                 cores,
-                hull.accelerators - taken.accelerators,
-                hull.ram_gb - taken.ram_gb,
+                machine_type.accelerators - taken.accelerators,
+                machine_type.ram_gb - taken.ram_gb,
                 images,
             )
             if not machine.retiring:
@@ -111,9 +111,12 @@
 
     def whole(self, slots: list[Slot]) -> dict[int, tuple[float, float, float]]:
         """What each of the machines has when it is empty."""
-        hulls = self._hulls()
-        types = {slot.machine: hulls[slot.type] for slot in slots}
-        return {m: (hull.cores, hull.accelerators, hull.ram_gb) for m, hull in types.items()}
+        machine_types = self._machine_types()
+        types = {slot.machine: machine_types[slot.type] for slot in slots}
+        return {
+            m: (machine_type.cores, machine_type.accelerators, machine_type.ram_gb)
+            for m, machine_type in types.items()
+        }
 
     def team_use(self) -> list[tuple[float, float]]:
         """What each team's tasks use or may be using, wherever they are."""
@@ -122,11 +125,11 @@
 
     def load(self) -> str:
         """What the machines are doing, on one line for the log."""
-        hulls = self._hulls()
+        machine_types = self._machine_types()
         up = booting = retiring = 0.0
         for machine in self._fleet.machines.values():
-            hull = hulls.get(machine.type)
-            cores = hull.cores if hull else 0.0
+            machine_type = machine_types.get(machine.type)
+            cores = machine_type.cores if machine_type else 0.0
             if machine.open:
                 up += cores
                 retiring += cores if machine.retiring else 0.0
@@ -180,11 +183,11 @@
     def cores(self) -> float:
         """That all jobs share, as far as they can be kept at work; infinite if none are known."""
         total = 0.0
-        hulls = self._hulls()
+        machine_types = self._machine_types()
         for machine in self._fleet.machines.values():
-            hull = hulls.get(machine.type)
-            if hull is not None and (machine.open or machine.health is Health.BOOTING):
-                total += hull.cores
+            machine_type = machine_types.get(machine.type)
+            if machine_type is not None and (machine.open or machine.health is Health.BOOTING):
+                total += machine_type.cores
         return total * AT_WORK or math.inf
 
     def turns(self) -> list[Turn]:
--- a/petrelthread/rental/cloud.py
+++ b/petrelthread/rental/cloud.py
@@ -71,10 +71,10 @@
         return self._decode(reply.body, wire.Catalog)
 
     async def rent(
-        self, charter: str, hull: str, zone: str, spot: bool, count: int, paid: bool = False
+        self, charter: str, machine_type: str, zone: str, spot: bool, count: int, paid: bool = False
     ) -> tuple[str, ...]:
         """``paid``: its turn has been waited for already."""
-        body = wire.rent_request(charter, hull, zone, spot, count)
+        body = wire.rent_request(charter, machine_type, zone, spot, count)
         reply = await self._call("POST", wire.HOSTS_PATH, body, paid=paid)
         return self._decode(reply.body, wire.Rented).perches
 
--- a/petrelthread/rental/demand.py
+++ b/petrelthread/rental/demand.py
@@ -52,7 +52,7 @@
         book: Book,
         fleet: Fleet,
         view: View,
-        machine_types: dict[int, wire.Hull],
+        machine_types: dict[int, wire.MachineType],
         zones_down: Collection[int],
     ) -> None:
         self._book = book
@@ -111,13 +111,13 @@
         )
 
     def _boot_s(self) -> float:
-        boots = (machine_type.startup_s for machine_type in self._machine_types.values())
+        boots = (machine_type.boot_s for machine_type in self._machine_types.values())
         return max(boots, default=UNKNOWN_BOOT_S)
 
     def _open_zones(self) -> list[int]:
         names = self._book.names.zones
         types = self._machine_types.values()
-        zones = {names.index(zone) for machine_type in types for zone in machine_type.roosts}
+        zones = {names.index(zone) for machine_type in types for zone in machine_type.zones}
         return sorted(zone for zone in zones if zone not in self._zones_down)
 
     # ---- demands -----------------------------------------------------------------------------
@@ -212,9 +212,9 @@
         if not self._book.open or not self._unseen_urgent_class():
             return []
         types = self._machine_types.values()
-        smallest = min(types, key=lambda machine_type: (machine_type.cores, machine_type.hourly))
+        smallest = min(types, key=lambda machine_type: (machine_type.cores, machine_type.price))
         names = self._book.names.zones
-        in_all = math.ceil(EXPECTED_IN_ALL / max(1, len(smallest.roosts)))
+        in_all = math.ceil(EXPECTED_IN_ALL / max(1, len(smallest.zones)))
         return [
             Demand(
                 tasks=max(EXPECTED_IN_ZONE, in_all),
@@ -228,12 +228,12 @@
                 spot=False,
                 standing=True,
             )
-            for zone in smallest.roosts
+            for zone in smallest.zones
             if names.index(zone) not in self._zones_down
         ]
 
     def _unseen_urgent_class(self) -> bool:
-        boots = (machine_type.startup_s for machine_type in self._machine_types.values())
+        boots = (machine_type.boot_s for machine_type in self._machine_types.values())
         late_s = LATE_BOOT * min(boots, default=0.0)
         seen = {job.jobclass for job in self._book.jobs}
         return any(
--- a/petrelthread/rental/provisioner.py
+++ b/petrelthread/rental/provisioner.py
@@ -76,13 +76,13 @@
         self._leading = leading
         self._zones_down = zones_down
         self.refusals = Refusals()
-        self.hulls: dict[int, wire.Hull] = {}
+        self.machine_types: dict[int, wire.MachineType] = {}
         self.ops: dict[str, CloudOp] = {}
         self._serial = 0
         self._listed_at = float("-inf")
         self._list_ok_at = float("-inf")  # when the newest list that was answered was asked for
         self._catalog_at = float("-inf")
-        self.forecast = DemandForecast(settings, book, fleet, view, self.hulls, zones_down)
+        self.forecast = DemandForecast(settings, book, fleet, view, self.machine_types, zones_down)
         # That a worker may take to find a new leader and report to it.
         self._hear_s = 2 * settings.cluster.workers.report_s + 5.0
         # In one plan: as many as the cloud takes in a burst.
@@ -92,22 +92,22 @@
     # ---- catalogue ---------------------------------------------------------------------------
 
     def set_catalog(self, catalog: wire.Catalog) -> None:
-        for hull in catalog.hulls:
-            self.hulls[self._book.names.types.index(hull.sku)] = hull
+        for machine_type in catalog.machine_types:
+            self.machine_types[self._book.names.types.index(machine_type.name)] = machine_type
 
-    def catalog(self) -> tuple[wire.Hull, ...] | None:
-        return tuple(self.hulls.values()) or None
+    def catalog(self) -> tuple[wire.MachineType, ...] | None:
+        return tuple(self.machine_types.values()) or None
 
     async def read_catalog(self, now: float) -> bool:
         """Also followers need the machine types, to judge submissions."""
-        if now - self._catalog_at < (CATALOG_EVERY_S if self.hulls else 1.0):
-            return bool(self.hulls)
+        if now - self._catalog_at < (CATALOG_EVERY_S if self.machine_types else 1.0):
+            return bool(self.machine_types)
         self._catalog_at = now
         try:
             self.set_catalog(await self._cloud.catalog())
         except (CloudDown, CloudUnsure, NoCapacity) as error:
             log.info("cloud: no catalogue: %s", error)
-        return bool(self.hulls)
+        return bool(self.machine_types)
 
     # ---- take-over ---------------------------------------------------------------------------
 
@@ -152,7 +152,7 @@
             # The list tells a new leader where its workers are, so that it can read them.
             await self._read_list(now)
         await self._settle(now)
-        if not self.hulls or not self._leading():
+        if not self.machine_types or not self._leading():
             return
         # Replicas return elsewhere as soon as their machine's return is confirmed: that first.
         await self._return([m for m in self._silent() if self._fleet.serves(m)], now)
@@ -221,8 +221,8 @@
                 machine.rented_at = now - entry.held_s
             machine.listed = True
             machine.addr = machine.addr or entry.addr
-            machine.type = self._book.names.types.index(entry.hull)
-            machine.zone = self._book.names.zones.index(entry.roost)
+            machine.type = self._book.names.types.index(entry.machine_type)
+            machine.zone = self._book.names.zones.index(entry.zone)
             machine.spot = entry.driftwood
             if entry.status == wire.HOST_FAILED and not machine.fault:
                 machine.fault = "listed as failed"
@@ -242,11 +242,11 @@
         """Booting for so long that nobody should wait for it, though it may still come. To a new
         leader a machine that was idle looks the same until it reports, and must not be rented anew.
         """
-        hull = self.hulls.get(machine.type)
+        machine_type = self.machine_types.get(machine.type)
         return (
-            hull is not None
+            machine_type is not None
             and machine.health is Health.BOOTING
-            and now - machine.rented_at > LATE_BOOT * hull.startup_s
+            and now - machine.rented_at > LATE_BOOT * machine_type.boot_s
             and now - machine.known_at > self._hear_s
         )
 
@@ -256,8 +256,8 @@
     def _plan(self, now: float) -> Plan:
         owned = []
         for machine in self._fleet.machines.values():
-            hull = self.hulls.get(machine.type)
-            if hull is None or machine.fault:
+            machine_type = self.machine_types.get(machine.type)
+            if machine_type is None or machine.fault:
                 continue
             if machine.health not in (Health.UP, Health.BOOTING):
                 continue
@@ -273,10 +273,10 @@
                     machine.type,
                     machine.zone,
                     machine.spot,
-                    hull.cores,
-                    hull.accelerators,
-                    hull.ram_gb,
-                    hull.low_price if machine.spot else hull.hourly,
+                    machine_type.cores,
+                    machine_type.accelerators,
+                    machine_type.ram_gb,
+                    machine_type.spot_price if machine.spot else machine_type.price,
                     now - machine.idle_since if idle else None,
                     len(self._fleet.attempts(machine)),
                     sum(
@@ -293,24 +293,24 @@
                 )
             )
         offers = []
-        for index, hull in self.hulls.items():
-            for zone_name in hull.roosts:
+        for index, machine_type in self.machine_types.items():
+            for zone_name in machine_type.zones:
                 zone = self._book.names.zones.index(zone_name)
                 if zone in self._zones_down:
                     continue  # what boots there is paid for and cannot be reached
                 for spot in (True, False):
-                    price = hull.low_price if spot else hull.hourly
+                    price = machine_type.spot_price if spot else machine_type.price
                     if price > 0 and self.refusals.open(index, zone, spot, now):
                         offers.append(
                             Offer(
                                 index,
                                 zone,
                                 spot,
-                                hull.cores,
-                                hull.accelerators,
-                                hull.ram_gb,
+                                machine_type.cores,
+                                machine_type.accelerators,
+                                machine_type.ram_gb,
                                 price,
-                                hull.startup_s,
+                                machine_type.boot_s,
                                 self.refusals.deep(index, zone, spot),
                                 bool(self._fleet.machines)
                                 or self.refusals.tried(index, zone, spot),
@@ -346,8 +346,8 @@
         for machine in machines.values():
             if machine.health in (Health.GONE, Health.RETURNING):
                 continue
-            hull = self.hulls.get(machine.type)
-            boot_s = hull.startup_s if hull else 60.0
+            machine_type = self.machine_types.get(machine.type)
+            boot_s = machine_type.boot_s if machine_type else 60.0
             why = ""
             if machine.fault:
                 why = machine.fault
--- a/petrelthread/wire/__init__.py
+++ b/petrelthread/wire/__init__.py
@@ -120,13 +120,15 @@
         return job, int(number)
 
 
-class Report(msgspec.Struct):
+class Report(msgspec.Struct, rename={"machine_type": "hull", "zone": "roost"}):
+    """What a worker says of itself and its tasks."""
+
     perch: str
     flight: int
     tick: int
     addr: str = ""
-    hull: str = ""
-    roost: str = ""
+    machine_type: str = ""
+    zone: str = ""
     driftwood: bool = False
     baton: int = 0
     warning_s: float | None = None
@@ -173,27 +175,43 @@
 # ---- cloud -------------------------------------------------------------------------------------
 
 
-class Hull(msgspec.Struct, frozen=True):
-    sku: str
+class MachineType(
+    msgspec.Struct,
+    frozen=True,
+    rename={
+        "name": "sku",
+        "zones": "roosts",
+        "price": "hourly",
+        "spot_price": "low_price",
+        "boot_s": "startup_s",
+    },
+):
+    """What the catalogue says of one machine type. Prices are per hour."""
+
+    name: str
     cores: float
     ram_gb: float
     accelerators: float = 0.0
     local_gb: float = 0.0
     fetch_gb_per_s: float = 1.0
-    hourly: float = 0.0
-    low_price: float = 0.0
-    startup_s: float = 60.0
-    roosts: tuple[str, ...] = ()
+    price: float = 0.0
+    spot_price: float = 0.0
+    boot_s: float = 60.0
+    zones: tuple[str, ...] = ()
+
+
+class Catalog(msgspec.Struct, frozen=True, rename={"machine_types": "hulls"}):
+    """All machine types that the cloud has."""
 
+    machine_types: tuple[MachineType, ...]
 
-class Catalog(msgspec.Struct, frozen=True):
-    hulls: tuple[Hull, ...]
 
+class Listed(msgspec.Struct, frozen=True, rename={"machine_type": "hull", "zone": "roost"}):
+    """A machine as the cloud lists it."""
 
-class Listed(msgspec.Struct, frozen=True):
     name_id: str
-    hull: str = ""
-    roost: str = ""
+    machine_type: str = ""
+    zone: str = ""
     driftwood: bool = False
     status: str = ""
     addr: str = ""
