What a round writes and the loopback world in modules of their own

Change: placement/round_claim.py (RoundClaim, ClaimBuilder) and emulator/loopback_world.py. No behaviour changes. Result: package tests, tests/test_emulator.py, tests/test_meetings.py pass; the demo ends with exit code 0.

--- a/petrelthread/cli/main.py
+++ b/petrelthread/cli/main.py
@@ -112,9 +112,10 @@
 def _play_soak(args: argparse.Namespace) -> int:
     from pathlib import Path
 
-    from petrelthread.emulator.soak import SoakOptions, play_seeds
+    from petrelthread.emulator.loopback_world import LoopbackOptions
+    from petrelthread.emulator.soak import play_seeds
 
-    options = SoakOptions(args.seconds, args.controllers, args.machines)
+    options = LoopbackOptions(args.seconds, args.controllers, args.machines)
     if args.sources:
         options = replace(options, sources=Path(args.sources).resolve())
     if not (options.sources / "run.py").is_file():
--- a/petrelthread/emulator/demo.py
+++ b/petrelthread/emulator/demo.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 from petrelthread.emulator.loopback import ignore_cancelled
-from petrelthread.emulator.soak import LoopbackWorld, SoakOptions
+from petrelthread.emulator.loopback_world import LoopbackOptions, LoopbackWorld
 from petrelthread.emulator.users import FINAL, Users
 from petrelthread.emulator.workload import PlannedJob, job_spec
 
@@ -142,7 +142,7 @@
 
 async def _demo(directory: Path) -> int:
     asyncio.get_running_loop().set_exception_handler(ignore_cancelled)
-    world = LoopbackWorld(SEED, SoakOptions(machines=MACHINES), directory)
+    world = LoopbackWorld(SEED, LoopbackOptions(machines=MACHINES), directory)
     demo = Demo(world)
     try:
         await demo.play()
--- a/petrelthread/emulator/injector.py
+++ b/petrelthread/emulator/injector.py
@@ -10,8 +10,8 @@
 from petrelthread.emulator.faults import STATE, Fault, FaultKind
 
 if TYPE_CHECKING:
+    from petrelthread.emulator.loopback_world import LoopbackWorld
     from petrelthread.emulator.processes import ControllerProcess
-    from petrelthread.emulator.soak import LoopbackWorld
     from petrelthread.emulator.worker import Worker
 
 LEADER_SHARE = 0.6  # of faults of a controller that strike the leader
--- a/petrelthread/emulator/soak.py
+++ b/petrelthread/emulator/soak.py
@@ -7,47 +7,20 @@
 from __future__ import annotations
 
 import asyncio
-import math
-import random
 import shutil
 import signal
 import tempfile
-import time
 from collections import Counter
-from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
 
-from petrelthread import wire
-from petrelthread.emulator.cloud import Cloud
-from petrelthread.emulator.faults import CLOUD, STATE, LinkFaults, draw_faults
+from petrelthread.emulator.faults import draw_faults
 from petrelthread.emulator.injector import FaultInjector
-from petrelthread.emulator.judge import Judge
-from petrelthread.emulator.loopback import (
-    HOST,
-    LoopbackNetwork,
-    forwarder,
-    free_port,
-    ignore_cancelled,
-)
-from petrelthread.emulator.processes import (
-    CANCEL_S,
-    LEASE_S,
-    REPORT_S,
-    TEAMS,
-    TXN_OPS,
-    ZONES,
-    Addresses,
-    ControllerProcess,
-    settings_text,
-)
-from petrelthread.emulator.state_service import StateService
+from petrelthread.emulator.loopback import ignore_cancelled
+from petrelthread.emulator.loopback_world import LoopbackOptions, LoopbackWorld
+from petrelthread.emulator.processes import CANCEL_S, ZONES
 from petrelthread.emulator.users import FINAL, Users
-from petrelthread.emulator.workload import PlannedJob, draw_jobs
-from petrelthread.ledger import Job
-from petrelthread.settings import UNLIMITED, Workers
-from petrelthread.store import ROOT
+from petrelthread.emulator.workload import draw_jobs
 
 FAULT_EVERY_S = 1.5
 JOBS_PER_S = 1.0
@@ -55,20 +28,7 @@
 SUBMIT_SHARE = 0.8  # of the time of faults in which jobs are submitted
 SETTLE_S = 75.0  # after the last fault, all jobs must be over: lease, hold-over, boots and runs
 JUDGE_EVERY_S = 0.25
-PEER_WAIT_S = 0.8
-SPOT_SHARE = 2 / 3
 STOOD_STILL_S = 1.0  # of this process itself: then what it saw may not be what happened
-BOOT_S = 1.5
-
-
-@dataclass(frozen=True)
-class SoakOptions:
-    """What is played. ``seconds`` of faults for each seed."""
-
-    seconds: float = 40.0
-    controllers: int = 3
-    machines: int = 12
-    sources: Path = Path(__file__).parents[2]  # the checkout whose controllers are run
 
 
 @dataclass
@@ -88,149 +48,10 @@
     logs: Path | None = None  # kept if something broke
 
 
-@dataclass(frozen=True)
-class LoopbackStock:
-    """What the cloud has: a few machines, scarce in each zone."""
-
-    machines: int
-    nodes: tuple[str, ...]
-    pages: int = 500
-    step_s: float = 0.05
-
-    @property
-    def hulls(self) -> tuple[dict[str, Any], ...]:
-        return (
-            {
-                "sku": "small",
-                "cores": 4.0,
-                "accelerators": 0.0,
-                "ram_gb": 8.0,
-                "local_gb": 20.0,
-                "fetch_gb_per_s": 1.0,
-                "hourly": 0.3,
-                "low_price": 0.1,
-                "startup_s": BOOT_S,
-                "roosts": list(ZONES),
-            },
-        )
-
-    @property
-    def spot(self) -> int:
-        return math.ceil(self.machines * SPOT_SHARE)
-
-    @property
-    def ordinary(self) -> int:
-        return self.machines - self.spot
-
-    @property
-    def zone_capacity(self) -> int:
-        return math.ceil(self.machines / len(ZONES))
-
-
-class LoopbackWorld:
-    """The stand-ins, the links between them and the controllers' processes."""
-
-    def __init__(self, seed: int, options: SoakOptions, directory: Path) -> None:
-        self.random = random.Random(seed)
-        names = tuple(f"node-{n}" for n in range(options.controllers))
-        self.made_of = LoopbackStock(options.machines, names)
-        self.workers = Workers(report_s=REPORT_S, lease_s=LEASE_S, cancel_s=CANCEL_S)
-        self.limits = {team: most or UNLIMITED for team, _, most in TEAMS}
-        self.jobs: dict[str, dict[str, Any]] = {}
-        self.mistaken: set[str] = set()
-        self.late_boots_s = 0.0
-        self.run_s: dict[str, float] = {}
-        self.faults = LinkFaults(self.random)
-        self.net = LoopbackNetwork(self.faults)
-        self.judge = Judge(self)
-        self.store = StateService(TXN_OPS, self.judge.on_put)
-        self.cloud = Cloud(self)
-        self.controllers: list[ControllerProcess] = []
-        self._public = {name: f"{HOST}:{free_port()}" for name in names}
-        self._peers = {name: f"{HOST}:{free_port()}" for name in names}
-        self._options = options
-        self._directory = directory
-        self._tasks: set[asyncio.Task[Any]] = set()
-
-    # ---- what the stand-ins ask of their world --------------------------------------------------
-
-    def background(self, work: Coroutine[Any, Any, Any]) -> None:
-        """Run something that nobody waits for."""
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    def public_address(self, node: str) -> str:
-        """Where workers and users reach a controller."""
-        return self._public[node]
-
-    def is_bad(self, leg: str) -> bool:
-        """No job of a soak is broken by itself; machines are, at times."""
-        return False
-
-    def ran_s(self, leg: str) -> float:
-        """How long the task runs, in seconds."""
-        job_id = leg.rpartition("/")[0]
-        return math.inf if self.jobs[job_id]["shape"] == "service" else self.run_s[job_id]
-
-    # ---- setting up --------------------------------------------------------------------------
-
-    async def start(self) -> None:
-        """Links, settings and processes."""
-        for name in self.made_of.nodes:
-            self.net.name_address(self._public[name], name)
-        for at, name in enumerate(self.made_of.nodes):
-            addresses = await self._addresses(name)
-            text = settings_text(name, ZONES[at % len(ZONES)], addresses)
-            controller = ControllerProcess(name, self._options.sources, self._directory, text)
-            self.controllers.append(controller)
-            controller.start()
-
-    async def _addresses(self, name: str) -> Addresses:
-        siblings = []
-        for other in self.made_of.nodes:
-            if other != name:
-                pass_on = forwarder(self.net.requester(name), self._peers[other], PEER_WAIT_S)
-                siblings.append((other, await self.net.link(name, other, pass_on)))
-        return Addresses(
-            self._public[name],
-            self._peers[name],
-            await self.net.link(name, STATE, self.store.handle),
-            await self.net.link(name, CLOUD, self.cloud.handle),
-            tuple(siblings),
-        )
-
-    def add_job(self, job: PlannedJob) -> None:
-        """Make a job known; one of the backlog is in the state service already."""
-        self.jobs[job.job_id] = job.spec
-        self.run_s[job.job_id] = job.run_s
-        if job.submit_s < 0:
-            spec = wire.JobSpec(**job.spec)
-            value = Job.encode(spec, time.time() + job.submit_s)
-            self.store.put(f"{ROOT}j/{job.job_id}", value)
-            self.judge.told(job.job_id, 201, {"status": "queued"})
-
-    @property
-    def leader(self) -> str | None:
-        """Whom the state service has as the leader."""
-        value = self.store.keys.get(f"{ROOT}lead")
-        return None if value is None else str(value[0]["node"])
-
-    def close(self) -> None:
-        """End all processes, machines and links."""
-        for controller in self.controllers:
-            controller.kill()
-        for name in list(self.cloud.machines):
-            self.cloud.remove(name)
-        for task in self._tasks:
-            task.cancel()
-        self.net.close()
-
-
 class Soak:
     """One seed."""
 
-    def __init__(self, seed: int, options: SoakOptions) -> None:
+    def __init__(self, seed: int, options: LoopbackOptions) -> None:
         self._options = options
         self._result = SeedResult(seed)
 
@@ -318,12 +139,12 @@
         result.evidence = [line for text in result.broken for line in judge.evidence(text)]
 
 
-async def soak(seed: int, options: SoakOptions) -> SeedResult:
+async def soak(seed: int, options: LoopbackOptions) -> SeedResult:
     """Play one seed."""
     return await Soak(seed, options).run()
 
 
-def shown(result: SeedResult, options: SoakOptions) -> str:
+def shown(result: SeedResult, options: LoopbackOptions) -> str:
     """One line a seed; where a rule broke, the rule, the evidence and how to play it again."""
     faults = ", ".join(f"{kind} {count}" for kind, count in sorted(result.faults.items()))
     line = (
@@ -352,7 +173,7 @@
     )
 
 
-def play_seeds(seeds: range, options: SoakOptions) -> int:
+def play_seeds(seeds: range, options: LoopbackOptions) -> int:
     """Play one seed after the other; 0 if no rule broke, 1 if one did, 130 if interrupted."""
     broken = 0
     signal.signal(signal.SIGTERM, signal.default_int_handler)
--- /dev/null
+++ b/petrelthread/placement/round_claim.py
@@ -0,0 +1,154 @@
+"""What one round writes: the starts and stops that it decided, and what has ended meanwhile."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+from petrelthread import wire
+from petrelthread.fleet import Fleet
+from petrelthread.ledger import FINISHED, STOPS, Attempt, Book, Job, pack_done, pack_round
+from petrelthread.placement.start_check import Start, StartCheck
+from petrelthread.settings import State
+from petrelthread.store import ROOT
+
+CONDITIONS = 4  # of a transaction, for each change that it may make
+FENCE = 3  # conditions that each claim has anyway: lead, epoch and its marker
+KEPT_FOR_STARTS = 3  # changes of a transaction that the ends of jobs leave to the rest
+VALUE_SHARE = 0.85  # of the largest value that the state service takes
+
+
+@dataclass
+class RoundClaim:
+    """What one round writes in one transaction, and what follows once it is won."""
+
+    stops: list[Attempt]
+    ops: list[dict[str, Any]] = field(default_factory=list)
+    absent: list[str] = field(default_factory=list)  # keys that must not exist
+    marker: str | None = None  # the key that proves that the claim was applied
+    completed: list[Job] = field(default_factory=list)
+    done_number: int = 0
+    done_record: list[Any] = field(default_factory=list)
+    rounds: list[tuple[int, Any]] = field(default_factory=list)  # number and record
+    suspects: dict[str, list[str]] = field(default_factory=dict)
+    dropped: list[str] = field(default_factory=list)
+    more: bool = False  # some of it had to wait for the next round
+
+
+class ClaimBuilder:
+    """Puts together the transaction of one round, within the limits of the state service."""
+
+    def __init__(
+        self,
+        state: State,
+        book: Book,
+        fleet: Fleet,
+        check: StartCheck,
+        next_number: Callable[[], int],
+        spare_writes: Callable[[float], int],
+        dead_keys: Sequence[str],
+    ) -> None:
+        """``spare_writes``: how many writes may go into cleaning up. ``dead_keys``: settled records
+        besides those of rounds, to be dropped; others add to it."""
+        self._book = book
+        self._fleet = fleet
+        self._check = check
+        self._next_number = next_number
+        self.spare_writes = spare_writes
+        self._dead_keys = dead_keys
+        self._value_most = int(state.value_kb * 1024 * VALUE_SHARE)
+        self._ops_most = state.txn_ops
+
+    def build(self, starts: list[Start], stops: list[Attempt], now: float) -> RoundClaim:
+        """The claim for what a round decided; the last check of its starts is made here."""
+        claim = RoundClaim(stops=stops)
+        self._add_finished(claim)
+        self._add_rounds(claim, starts)
+        self._add_suspects(claim)
+        self._add_clean_up(claim, now)
+        return claim
+
+    def _collect_finished(self) -> tuple[list[Job], dict[str, list[int]]]:
+        """Jobs that are complete, and the finished tasks of the others."""
+        completed: list[Job] = []
+        partly: dict[str, list[int]] = {}
+        for index, tasks in list(self._fleet.finished.items()):
+            job = self._book.jobs[index]
+            if job.final is not None:
+                del self._fleet.finished[index]
+                self._release_ended(job)
+                continue
+            # What another leader, or a claim of ours that we had given up, made durable meanwhile
+            # counts as done already. Counted twice, it would make the job done too soon.
+            tasks = {task for task in tasks if job.states[task] != FINISHED}
+            if not tasks and job.done < job.tasks:
+                del self._fleet.finished[index]
+                continue
+            self._fleet.finished[index] = tasks
+            if job.done + len(tasks) >= job.tasks:
+                completed.append(job)
+            else:
+                partly[job.id] = list(tasks)
+        return completed, partly
+
+    def _add_finished(self, claim: RoundClaim) -> None:
+        completed, partly = self._collect_finished()
+        # One key says that a job is complete, and stands for all its tasks.
+        claim.completed = completed[: max(1, self._ops_most - KEPT_FOR_STARTS)]
+        for job in claim.completed:
+            claim.ops.append(wire.put(f"{ROOT}f/{job.id}", wire.DONE))
+            claim.absent.append(f"f/{job.id}")
+        if partly:
+            claim.done_record, _ = pack_done(partly, self._value_most)
+            claim.done_number = self._next_number()
+            claim.marker = f"d/{claim.done_number}"
+            claim.ops.append(wire.put(ROOT + claim.marker, claim.done_record))
+
+    def _add_rounds(self, claim: RoundClaim, starts: list[Start]) -> None:
+        admitted, _ = self._check.admit(starts)
+        wanted, cut = self._while_wanted(admitted, claim.absent)
+        entries = [(m.name, m.session, job.id, task) for job, task, m in wanted]
+        entries += [(STOPS, 0, a.job.id, a.task) for a in claim.stops]
+        records = pack_round(entries, self._value_most)
+        for record in records[: max(1, self._ops_most - len(claim.ops))]:
+            number = self._next_number()
+            claim.rounds.append((number, record))
+            claim.ops.append(wire.put(f"{ROOT}r/{number}", record))
+            claim.marker = claim.marker or f"r/{number}"
+        claim.more = cut or len(claim.rounds) < len(records)
+
+    def _add_suspects(self, claim: RoundClaim) -> None:
+        suspects = self._fleet.new_suspects()
+        for job_id in list(suspects)[: max(0, self._ops_most - len(claim.ops))]:
+            claim.suspects[job_id] = suspects[job_id]
+            claim.ops.append(wire.put(f"{ROOT}s/{job_id}", suspects[job_id]))
+
+    def _add_clean_up(self, claim: RoundClaim, now: float) -> None:
+        """Settled records go only when the write rate has room to spare: a round that waits for its
+        turn behind a clean-up keeps tasks waiting."""
+        book = self._book
+        dead = [f"r/{n}" for n in book.dead_rounds()] + [f"d/{n}" for n in book.dead_done_records()]
+        dead += [*self._dead_keys] + [f"s/{job_id}" for job_id in self._fleet.cleared_suspects()]
+        written = len(claim.ops)
+        room = min(self._ops_most - written, self.spare_writes(now) - written)
+        claim.dropped = dead[: max(0, room)]
+        claim.ops += [wire.drop(ROOT + key) for key in claim.dropped]
+
+    def _while_wanted(self, placements: list[Start], absent: list[str]) -> tuple[list[Start], bool]:
+        """Claim starts only of jobs that nobody has called off, as far as one claim can say.
+
+        A cancellation may be confirmed elsewhere a moment before the watch cache here shows it, and
+        from then on no task of the job may start. Adds to ``absent``; True if some had to wait.
+        """
+        room = CONDITIONS * self._ops_most - len(absent) - FENCE
+        jobs = dict.fromkeys(job.id for job, _, _ in placements)
+        kept = set(list(jobs)[: max(1, room)])
+        absent += [f"f/{job_id}" for job_id in jobs if job_id in kept]
+        out = [placement for placement in placements if placement[0].id in kept]
+        return out, len(out) < len(placements)
+
+    def _release_ended(self, job: Job) -> None:
+        for attempt in list(job.live.values()):
+            if attempt.ended:
+                self._book.release(attempt, done=True)
--- a/petrelthread/placement/scheduler.py
+++ b/petrelthread/placement/scheduler.py
@@ -14,47 +14,24 @@
 from petrelthread.fleet import Dispatch, Fleet, Machine
 from petrelthread.ledger import (
     FINISHED,
-    STOPS,
     Attempt,
     Book,
     Claims,
     Job,
     Op,
     Outcome,
-    pack_done,
-    pack_round,
 )
 from petrelthread.placement.place import PlacementRequest, QuotaHeadroom, Slot, place
 from petrelthread.placement.reservations import reserve_machines
+from petrelthread.placement.round_claim import ClaimBuilder, RoundClaim
 from petrelthread.placement.start_check import Start, StartCheck
 from petrelthread.placement.stops import Stops
 from petrelthread.placement.view import View
 from petrelthread.settings import Settings
-from petrelthread.store import ROOT
 
 log = logging.getLogger(__name__)
 
-CONDITIONS = 4  # of a transaction, for each change that it may make
-FENCE = 3  # conditions that each claim has anyway: lead, epoch and its marker
 EPOCH_SHIFT = 20  # a round's number is ``epoch << EPOCH_SHIFT | serial``
-KEPT_FOR_STARTS = 3  # changes of a transaction that the ends of jobs leave to the rest
-
-
-@dataclass
-class RoundClaim:
-    """What one round writes in one transaction, and what follows once it is won."""
-
-    stops: list[Attempt]
-    ops: list[dict[str, Any]] = field(default_factory=list)
-    absent: list[str] = field(default_factory=list)  # keys that must not exist
-    marker: str | None = None  # the key that proves that the claim was applied
-    completed: list[Job] = field(default_factory=list)
-    done_number: int = 0
-    done_record: list[Any] = field(default_factory=list)
-    rounds: list[tuple[int, Any]] = field(default_factory=list)  # number and record
-    suspects: dict[str, list[str]] = field(default_factory=dict)
-    dropped: list[str] = field(default_factory=list)
-    more: bool = False  # some of it had to wait for the next round
 
 
 @dataclass
@@ -86,16 +63,20 @@
         self._dispatch = dispatch
         self._view = view
         self._stops = Stops(settings, book, fleet, view)
-        self.check = StartCheck(book, fleet, settings.cluster.teams)
         self._refresh = refresh
-        self._spare_writes = spare_writes
-        state = settings.cluster.state
-        self._value_most = int(state.value_kb * 1024 * 0.85)
-        self._ops_most = state.txn_ops
         self._number = 0
         self._cursor = 0
         self.reserved: dict[int, int] = {}  # by job that should have begun: the machine kept for it
         self.dead_keys: list[str] = []  # records that are settled, to be dropped
+        self.builder = ClaimBuilder(
+            settings.cluster.state,
+            book,
+            fleet,
+            StartCheck(book, fleet, settings.cluster.teams),
+            self.next_number,
+            spare_writes,
+            self.dead_keys,
+        )
         self.gap_s = 0.25
         self.budget_s = 0.05
         self.wake = asyncio.Event()
@@ -229,8 +210,8 @@
     async def round(self, now: float) -> bool:
         """Decide and claim once. True if there is more to write at once."""
         stops = self._stops.drain(now)
-        placements, preempted = self.decide(now)
-        claim = self.build_claim(placements, stops + preempted, now)
+        starts, preempted = self.decide(now)
+        claim = self.builder.build(starts, stops + preempted, now)
         if not claim.ops:
             return False
         outcome, failed = await self._claims.claim(claim.ops, claim.marker, tuple(claim.absent))
@@ -239,7 +220,7 @@
             claim.marker,
             self._fleet.epoch,
             outcome.value,
-            len(placements),
+            len(starts),
             len(claim.stops),
             now,
         )
@@ -253,82 +234,6 @@
         self._apply_claim(claim, now)
         return claim.more or bool(self._fleet.finished)
 
-    # ---- what a round writes ----------------------------------------------------------------
-
-    def build_claim(self, placements: list[Start], stops: list[Attempt], now: float) -> RoundClaim:
-        claim = RoundClaim(stops=stops)
-        self._add_finished(claim)
-        self._add_rounds(claim, placements)
-        self._add_suspects(claim)
-        self._add_clean_up(claim, now)
-        return claim
-
-    def _collect_finished(self) -> tuple[list[Job], dict[str, list[int]]]:
-        """Jobs that are complete, and the finished tasks of the others."""
-        completed: list[Job] = []
-        partly: dict[str, list[int]] = {}
-        for index, tasks in list(self._fleet.finished.items()):
-            job = self._book.jobs[index]
-            if job.final is not None:
-                del self._fleet.finished[index]
-                self._release_ended(job)
-                continue
-            # What another leader, or a claim of ours that we had given up, made durable meanwhile
-            # counts as done already. Counted twice, it would make the job done too soon.
-            tasks = {task for task in tasks if job.states[task] != FINISHED}
-            if not tasks and job.done < job.tasks:
-                del self._fleet.finished[index]
-                continue
-            self._fleet.finished[index] = tasks
-            if job.done + len(tasks) >= job.tasks:
-                completed.append(job)
-            else:
-                partly[job.id] = list(tasks)
-        return completed, partly
-
-    def _add_finished(self, claim: RoundClaim) -> None:
-        completed, partly = self._collect_finished()
-        # One key says that a job is complete, and stands for all its tasks.
-        claim.completed = completed[: max(1, self._ops_most - KEPT_FOR_STARTS)]
-        for job in claim.completed:
-            claim.ops.append(wire.put(f"{ROOT}f/{job.id}", wire.DONE))
-            claim.absent.append(f"f/{job.id}")
-        if partly:
-            claim.done_record, _ = pack_done(partly, self._value_most)
-            claim.done_number = self.next_number()
-            claim.marker = f"d/{claim.done_number}"
-            claim.ops.append(wire.put(ROOT + claim.marker, claim.done_record))
-
-    def _add_rounds(self, claim: RoundClaim, placements: list[Start]) -> None:
-        placements, _ = self.check.admit(placements)
-        placements, cut = self._while_wanted(placements, claim.absent)
-        entries = [(m.name, m.session, job.id, task) for job, task, m in placements]
-        entries += [(STOPS, 0, a.job.id, a.task) for a in claim.stops]
-        records = pack_round(entries, self._value_most)
-        for record in records[: max(1, self._ops_most - len(claim.ops))]:
-            number = self.next_number()
-            claim.rounds.append((number, record))
-            claim.ops.append(wire.put(f"{ROOT}r/{number}", record))
-            claim.marker = claim.marker or f"r/{number}"
-        claim.more = cut or len(claim.rounds) < len(records)
-
-    def _add_suspects(self, claim: RoundClaim) -> None:
-        suspects = self._fleet.new_suspects()
-        for job_id in list(suspects)[: max(0, self._ops_most - len(claim.ops))]:
-            claim.suspects[job_id] = suspects[job_id]
-            claim.ops.append(wire.put(f"{ROOT}s/{job_id}", suspects[job_id]))
-
-    def _add_clean_up(self, claim: RoundClaim, now: float) -> None:
-        """Settled records go only when the write rate has room to spare: a round that waits for its
-        turn behind a clean-up keeps tasks waiting."""
-        book = self._book
-        dead = [f"r/{n}" for n in book.dead_rounds()] + [f"d/{n}" for n in book.dead_done_records()]
-        dead += self.dead_keys + [f"s/{job_id}" for job_id in self._fleet.cleared_suspects()]
-        written = len(claim.ops)
-        room = min(self._ops_most - written, self._spare_writes(now) - written)
-        claim.dropped = dead[: max(0, room)]
-        claim.ops += [wire.drop(ROOT + key) for key in claim.dropped]
-
     # ---- what a won claim changes -----------------------------------------------------------
 
     def _apply_claim(self, claim: RoundClaim, now: float) -> None:
@@ -401,24 +306,6 @@
                 counts[zone] = counts.get(zone, 0) + 1
         return ", ".join(f"{zone}: {count}" for zone, count in sorted(counts.items())) or "none"
 
-    def _while_wanted(self, placements: list[Start], absent: list[str]) -> tuple[list[Start], bool]:
-        """Claim starts only of jobs that nobody has called off, as far as one claim can say.
-
-        A cancellation may be confirmed elsewhere a moment before the watch cache here shows it, and
-        from then on no task of the job may start. Adds to ``absent``; True if some had to wait.
-        """
-        room = CONDITIONS * self._ops_most - len(absent) - FENCE
-        jobs = dict.fromkeys(job.id for job, _, _ in placements)
-        kept = set(list(jobs)[: max(1, room)])
-        absent += [f"f/{job_id}" for job_id in jobs if job_id in kept]
-        out = [placement for placement in placements if placement[0].id in kept]
-        return out, len(out) < len(placements)
-
-    def _release_ended(self, job: Job) -> None:
-        for attempt in list(job.live.values()):
-            if attempt.ended:
-                self._book.release(attempt, done=True)
-
     def _dropped(self, key: str) -> None:
         kind, _, number = key.partition("/")
         if kind == "r":
--- a/petrelthread/placement/test_scheduler.py
+++ b/petrelthread/placement/test_scheduler.py
@@ -13,7 +13,9 @@
 from petrelthread.fleet import Dispatch, Fleet, Health, Machine
 from petrelthread.ledger import Book, Claims, Job, NamesBook
 from petrelthread.placement.order import BEGIN_S
+from petrelthread.placement.round_claim import ClaimBuilder
 from petrelthread.placement.scheduler import Scheduler
+from petrelthread.placement.start_check import StartCheck
 from petrelthread.placement.view import Estimates, View
 from petrelthread.settings import Settings, parse
 from tests.virtual import play
@@ -52,6 +54,16 @@
             lambda now: 0,
         )
         self.scheduler.take_over(EPOCH)
+        self.check = StartCheck(self.book, self.fleet, self.settings.cluster.teams)
+        self.builder = ClaimBuilder(
+            self.settings.cluster.state,
+            self.book,
+            self.fleet,
+            self.check,
+            self.scheduler.next_number,
+            lambda now: 0,
+            [],
+        )
 
     def machine(self, number: int, zone: str, taken_cores: float = 0.0) -> Machine:
         """A machine of 4 cores that has reported; ``taken_cores`` of them hold other work."""
--- a/petrelthread/placement/test_start_check.py
+++ b/petrelthread/placement/test_start_check.py
@@ -27,7 +27,7 @@
     def refused(self, *starts: tuple[int, str]) -> list[tuple[int, Violation]]:
         """What the check refuses of starts given as task and zone."""
         decided = [Start(self.job, task, self.machines[zone]) for task, zone in starts]
-        _, refused = self.cluster.scheduler.check.admit(decided)
+        _, refused = self.cluster.check.admit(decided)
         return [(start.task, violation) for start, violation in refused]
 
     def live(self, task: int, machine: Machine) -> None:
@@ -147,7 +147,7 @@
     def scenario(cluster: Cluster) -> None:
         case = Case(cluster, same_place=True)
         decided = [Start(case.job, 0, case.machines[A]), Start(case.job, 1, case.machines[B])]
-        claim = cluster.scheduler.build_claim(decided, [], 0.0)
+        claim = cluster.builder.build(decided, [], 0.0)
         assert [record for _, record in claim.rounds] == [
             [["host-000001", 1, [["wk-000001", [0]]]]]
         ]
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -18,7 +18,8 @@
 
 from petrelthread.cli.main import main
 from petrelthread.emulator.faults import STATE, FaultKind, LinkFaults, draw_faults
-from petrelthread.emulator.soak import SeedResult, SoakOptions, shown
+from petrelthread.emulator.loopback_world import LoopbackOptions
+from petrelthread.emulator.soak import SeedResult, shown
 from petrelthread.emulator.worker import Worker
 from petrelthread.emulator.workload import draw_jobs
 from tests.virtual import play
@@ -216,10 +217,10 @@
 
 def test_a_broken_rule_is_shown_with_evidence_and_the_command_that_plays_it_again() -> None:
     result = SeedResult(7, jobs=3, done=2, broken=["quota: red"], evidence=["1.0 something"])
-    text = shown(result, SoakOptions(seconds=9.0, controllers=5, machines=6))
+    text = shown(result, LoopbackOptions(seconds=9.0, controllers=5, machines=6))
     assert "seed 7: BROKEN" in text and "quota: red" in text and "1.0 something" in text
     assert "soak --seeds 1 --first-seed 7 --seconds 9 --controllers 5 --machines 6" in text
-    assert "seed 7: ok" in shown(SeedResult(7), SoakOptions())
+    assert "seed 7: ok" in shown(SeedResult(7), LoopbackOptions())
 
 
 def children_of(parent: int) -> list[int]:
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -289,7 +289,7 @@
     async def scenario(world: World) -> None:
         world.cloud.capacity = {True: 0, False: 0}
         node = world.nodes[await world.led()]
-        node.scheduler._spare_writes = lambda now: 0  # no writes to spare for striking them out
+        node.scheduler.builder.spare_writes = lambda now: 0  # none to strike them out with
         await world.submit(job("wk-000001", 4, guess_s=10.0))
         await asyncio.sleep(20.0)
         old = set(world.cloud.asked)
