Soak: longer tasks, more overdue single-zone jobs, more late messages

Change: 70 of 100 jobs of the backlog are single-zone ones, tasks run 1 to 10 s, 40 of 100 messages of a late spell are late.

--- a/petrelthread/emulator/injector.py
+++ b/petrelthread/emulator/injector.py
@@ -15,7 +15,7 @@
     from petrelthread.emulator.worker import Worker
 
 LEADER_SHARE = 0.6  # of faults of a controller that strike the leader
-SHARE = 0.3  # of messages that a fault of links strikes
+SHARE = 0.4  # of messages that a fault of links strikes
 DYING_MOST = 3  # machines that die at once
 
 Strike = Callable[[Fault], Awaitable[None]]
--- a/petrelthread/emulator/soak.py
+++ b/petrelthread/emulator/soak.py
@@ -24,7 +24,7 @@
 
 FAULT_EVERY_S = 1.5
 JOBS_PER_S = 1.0
-BACKLOG = 6
+BACKLOG = 8
 SUBMIT_SHARE = 0.8  # of the time of faults in which jobs are submitted
 SETTLE_S = 75.0  # after the last fault, all jobs must be over: lease, hold-over, boots and runs
 JUDGE_EVERY_S = 0.25
--- a/petrelthread/emulator/workload.py
+++ b/petrelthread/emulator/workload.py
@@ -12,7 +12,10 @@
 BACKLOG_AGE_S = (100.0, 260.0)  # the scheduler expects a job to have begun after 150 s
 CANCELLED_SHARE = 0.25
 SERVICE_SHARE = 0.12
-RUN_S = (0.5, 6.0)
+RUN_S = (1.0, 10.0)
+SINGLE_ZONE_SHARE = 0.4
+SPREAD_SHARE = 0.2
+OVERDUE_SINGLE_ZONE_SHARE = 0.7  # of the backlog
 
 
 def job_spec(job_id: str, tasks: int, **more: Any) -> dict[str, Any]:
@@ -75,8 +78,10 @@
 def _draw_job(
     randomness: random.Random, job_id: str, submit_s: float, zones: tuple[str, ...]
 ) -> PlannedJob:
+    single_zone_share = SINGLE_ZONE_SHARE if submit_s >= 0 else OVERDUE_SINGLE_ZONE_SHARE
     bound = randomness.random()
-    same_place, scatter = bound < 0.4, 0.4 <= bound < 0.6
+    same_place = bound < single_zone_share
+    scatter = single_zone_share <= bound < single_zone_share + SPREAD_SHARE
     service = submit_s >= 0 and not same_place and randomness.random() < SERVICE_SHARE
     tasks = randomness.randint(2, 6)
     spec = job_spec(
