Soak: the users' rules on waiting and forgetting, and time for all the work

The bound was ours, and shorter than the work that the team had left at its limit. Change: after the last fault the judge looks for jobs without an answer for 75 s and for jobs that wait 90 s while a machine and their team have room, as the users' addition has it; 150 s until all is over.

--- a/petrelthread/emulator/soak.py
+++ b/petrelthread/emulator/soak.py
@@ -26,7 +26,9 @@
 JOBS_PER_S = 1.0
 BACKLOG = 8
 SUBMIT_SHARE = 0.8  # of the time of faults in which jobs are submitted
-SETTLE_S = 75.0  # after the last fault, all jobs must be over: lease, hold-over, boots and runs
+# After the last fault, all jobs must be over: lease, hold-over and boots, and then all the work that
+# the team with the lower limit has left, a minute and more of it.
+SETTLE_S = 150.0
 JUDGE_EVERY_S = 0.25
 STOOD_STILL_S = 1.0  # of this process itself: then what it saw may not be what happened
 
@@ -128,6 +130,9 @@
             self._result.stood_still_s = max(self._result.stood_still_s, late_s)
             injector.watch()
             world.judge.cancels()
+            if world.judge.calm_at is not None:
+                world.judge.nothing_forgotten()
+                world.judge.nobody_left_waiting()
 
     def _collect(self, world: LoopbackWorld) -> None:
         result, judge = self._result, world.judge
