--- a/petrelthread/emulator/soak.py
+++ b/petrelthread/emulator/soak.py
@@ -26,8 +26,8 @@
 JOBS_PER_S = 1.0
 BACKLOG = 8
 SUBMIT_SHARE = 0.8  # of the time of faults in which jobs are submitted
-# After the last fault, all jobs must be over: lease, hold-over and boots, and then all the work that
-# the team with the lower limit has left, a minute and more of it.
+# After the last fault, all jobs must be over: lease, hold-over and boots, and then all the work
+# that the team with the lower limit has left, a minute and more of it.
 SETTLE_S = 150.0
 JUDGE_EVERY_S = 0.25
 STOOD_STILL_S = 1.0  # of this process itself: then what it saw may not be what happened
