--- a/petrelthread/admin/api.py
+++ b/petrelthread/admin/api.py
@@ -56,7 +56,7 @@
             return answer(200, views.status(self._node, now))
         if what == "zones":
             return answer(200, {"zones": views.zones(self._node)})
-        job = self._node.book.by_id.get(rest)
+        job = self._node.cluster_state.by_id.get(rest)
         if job is None:
             return refusal(404, f"unknown job {rest}")
         return answer(200, views.explain(self._node, job, now))
@@ -64,7 +64,7 @@
     async def _get_settings(self) -> Response:
         if not await self._node.watch_cache.fresh():
             return refusal(503, "state service unreachable", 2)
-        stored = self._node.book.options or {"values": {}, "stamp": 0}
+        stored = self._node.cluster_state.options or {"values": {}, "stamp": 0}
         values = with_defaults(stored["values"])
         shown = [
             {"name": name, "value": values[name], "set": name in stored["values"], **knob._asdict()}
@@ -88,7 +88,7 @@
             return refusal(400, str(error))
         if not await self._node.watch_cache.fresh():
             return refusal(503, "state service unreachable", 2)
-        stored: dict[str, Any] = self._node.book.options or {"values": {}, "stamp": 0}
+        stored: dict[str, Any] = self._node.cluster_state.options or {"values": {}, "stamp": 0}
         if stored["stamp"] != version:
             return refusal(409, f"version {version} is stale, it is {stored['stamp']}")
         values = {**stored["values"], name: number}
--- a/petrelthread/admin/troubles.py
+++ b/petrelthread/admin/troubles.py
@@ -44,7 +44,7 @@
     )
     if deaf:
         out["deaf"] = f"{deaf} machines report but do not hear us"
-    suspects = [job.id for job in node.book.open.values() if node.fleet.suspect(job)]
+    suspects = [job.id for job in node.cluster_state.open.values() if node.fleet.suspect(job)]
     if suspects:
         shown = ", ".join(suspects[:5]) + (", ..." if len(suspects) > 5 else "")
         out["suspects"] = f"{len(suspects)} jobs fail everywhere until they are cancelled: {shown}"
@@ -52,7 +52,9 @@
         out["held"] = (
             f"{len(node.scheduler.reserved)} jobs should have begun: a machine is kept for each"
         )
-    cut = ", ".join(node.book.names.zones.name(zone) for zone in sorted(node.zone_watch.down))
+    cut = ", ".join(
+        node.cluster_state.names.zones.name(zone) for zone in sorted(node.zone_watch.down)
+    )
     if cut:
         out["zones"] = f"cut off: {cut}"
     return out
--- a/petrelthread/admin/views.py
+++ b/petrelthread/admin/views.py
@@ -16,7 +16,7 @@
 
 
 def status(node: Controller, now: float) -> dict[str, Any]:
-    book, election = node.book, node.election
+    cluster_state, election = node.cluster_state, node.election
     siblings = [
         {
             "node": name,
@@ -28,9 +28,9 @@
     ]
     use = node.view.team_use()
     backlog: dict[str, dict[str, int]] = {}
-    for job in book.open.values():
+    for job in cluster_state.open.values():
         entry = backlog.setdefault(
-            book.names.classes.name(job.jobclass), {"jobs": 0, "waiting": 0, "running": 0}
+            cluster_state.names.classes.name(job.jobclass), {"jobs": 0, "waiting": 0, "running": 0}
         )
         entry["jobs"] += 1
         entry["waiting"] += job.pending
@@ -90,7 +90,7 @@
 
 
 def zones(node: Controller) -> list[dict[str, Any]]:
-    names = node.book.names.zones
+    names = node.cluster_state.names.zones
     out = []
     for index in range(len(names)):
         here = [m for m in node.fleet.machines.values() if m.zone == index]
@@ -123,11 +123,11 @@
     for op in node.provisioner.ops.values():
         if op.state is Op.UNKNOWN:
             awaited = "the cloud's answer to the same request, or a list taken well after"
-            if op.key.startswith("c/") and not node.book.open:
+            if op.key.startswith("c/") and not node.cluster_state.open:
                 awaited = "a list taken well after, since it is no longer wanted"
             age_s = round(now - op.unknown_at, 1)
             out.append({"operation": op.key, "age_s": age_s, "awaits": awaited})
-    for index, there in node.book.on_machine.items():
+    for index, there in node.cluster_state.on_machine.items():
         unknown = [a for a in there.values() if a.state is Op.UNKNOWN]
         machine = node.fleet.machines.get(index)
         if unknown and machine is not None:
@@ -144,7 +144,7 @@
 
 def why(node: Controller, job: Job, now: float) -> str:
     """Why the job waits, in one plain sentence with the numbers behind it."""
-    book = node.book
+    cluster_state = node.cluster_state
     if job.final is not None:
         return f"It is over: {job.final}."
     if now - node.watch_cache.last_ok > STATE_S:
@@ -170,7 +170,7 @@
                 )
             return f"{done}; {len(unknown)} may be on {name}, which has not reported since."
         if len(running) < len(live):
-            image = book.names.images.name(job.image)
+            image = cluster_state.names.images.name(job.image)
             waiting = len(live) - len(running)
             return f"{done}; {waiting} starting, fetching image {image} ({job.size_gb:g} GB)."
         return f"{done}; nothing waits."
@@ -202,8 +202,8 @@
         return f"{head}: there is room; it is placed in the next round."
     booting = sum(m.health is Health.BOOTING for m in node.fleet.machines.values())
     refused = [
-        f"{book.names.types.name(kind)} {'spot' if spot else 'ordinary'} in"
-        f" {book.names.zones.name(zone)}"
+        f"{cluster_state.names.types.name(kind)} {'spot' if spot else 'ordinary'} in"
+        f" {cluster_state.names.zones.name(zone)}"
         for kind, zone, spot, _ in node.provisioner.refusals.listed(now)
     ]
     tail = f"; the cloud has no more {', '.join(refused)}" if refused else ""
@@ -218,7 +218,9 @@
     if not node.view.has_goals(job):
         tail += "; it has neither a deadline nor an objective, and others' work comes first"
     if node.zone_watch.down:
-        cut = ", ".join(book.names.zones.name(zone) for zone in sorted(node.zone_watch.down))
+        cut = ", ".join(
+            cluster_state.names.zones.name(zone) for zone in sorted(node.zone_watch.down)
+        )
         tail += f"; cut off: {cut}"
     return (
         f"{head}: no room for {job.cores:g} cores and {job.ram_gb:g} GB on any of {len(allowed)}"
@@ -230,7 +232,7 @@
     return {
         "job": job.id,
         "status": job.status,
-        "team": node.book.names.teams.name(job.team),
+        "team": node.cluster_state.names.teams.name(job.team),
         "shape": wire.SERVICE if job.service else wire.GANG if job.gang else wire.ARRAY,
         "tasks": job.tasks,
         "done": job.done,
--- a/petrelthread/controller.py
+++ b/petrelthread/controller.py
@@ -19,7 +19,7 @@
 from petrelthread.http.server import refusal
 from petrelthread.intake import Intake
 from petrelthread.leadership import ACTING, Election, Role
-from petrelthread.ledger import Book, Claims, NamesBook, Outcome
+from petrelthread.ledger import Claims, ClusterState, Interners, Outcome
 from petrelthread.pause_detector import PauseDetector
 from petrelthread.peers import Heartbeat, Heartbeats
 from petrelthread.peers.heartbeat import HEARTBEAT_PATH
@@ -28,7 +28,15 @@
 from petrelthread.rental import CloudClient, Options
 from petrelthread.rental.provisioner import Provisioner
 from petrelthread.settings import Settings
-from petrelthread.store import ROOT, Budget, Request, Shares, StateClient, WatchCache, WriteRates
+from petrelthread.store import (
+    ROOT,
+    Budget,
+    Request,
+    StateClient,
+    WatchCache,
+    WriteQuota,
+    WriteRates,
+)
 
 log = logging.getLogger(__name__)
 
@@ -66,11 +74,11 @@
         self._write_limit = cluster.state.write_rps
         self._write_rates = WriteRates.divide(self._write_limit, nodes)
         self._writes = Budget(self._write_limit * STATE_SHARE / nodes, self._write_rates.burst)
-        self.shares = Shares(self._write_rates.follower)
+        self.write_quota = WriteQuota(self._write_rates.follower)
         self._writes_of_late = 0.0
         self._started_at = float("inf")
-        names = NamesBook([team.name for team in cluster.teams], cluster.zones)
-        self.book = Book(names)
+        names = Interners([team.name for team in cluster.teams], cluster.zones)
+        self.cluster_state = ClusterState(names)
         state = StateClient(request, settings.endpoints.state, self._reads, self._writes)
         self.state = state
         self.watch_cache = WatchCache(state, self._on_key, gap_s=0.15)
@@ -84,18 +92,22 @@
             self._on_elected,
             self._on_role,
         )
-        self.fleet = Fleet(self.book, workers.lease_s, workers.report_s, hold_over_s)
+        self.fleet = Fleet(self.cluster_state, workers.lease_s, workers.report_s, hold_over_s)
         claims = Claims(state, self.election.fence)
         self._claims = claims
         estimates = Estimates()
         self.view = View(
-            settings, self.book, self.fleet, lambda: self.provisioner.machine_types, estimates
+            settings,
+            self.cluster_state,
+            self.fleet,
+            lambda: self.provisioner.machine_types,
+            estimates,
         )
         self.dispatch = Dispatch(self.fleet, commands or request, commands_at_once)
         self.dispatch.may_start = lambda: self.election.starting
         self.scheduler = Scheduler(
             settings,
-            self.book,
+            self.cluster_state,
             self.fleet,
             claims,
             self.dispatch,
@@ -109,7 +121,7 @@
         self.zone_watch = ZoneWatch(workers.report_s)
         self.provisioner = Provisioner(
             settings,
-            self.book,
+            self.cluster_state,
             self.fleet,
             claims,
             cloud,
@@ -123,14 +135,16 @@
         self.fleet.on_lost = self.provisioner.wake.set
         self.fleet.on_class_time = estimates.learn
         self.fleet.cache_gb = self._cache_gb
-        self.intake = Intake(settings, self.book, self.watch_cache, state, self.provisioner.catalog)
+        self.intake = Intake(
+            settings, self.cluster_state, self.watch_cache, state, self.provisioner.catalog
+        )
         self.heartbeats = Heartbeats(
             settings.siblings,
             request,
             self._heartbeat,
             self._on_heartbeat,
             self._lend,
-            self.shares.took,
+            self.write_quota.took,
         )
         self.pause_detector = PauseDetector(self._on_still)
         self.troubles = Troubles()
@@ -153,21 +167,26 @@
                 self.provisioner.set_catalog(msgspec.convert(value, wire.Catalog))
             except msgspec.ValidationError as error:
                 log.warning("stored catalogue unusable: %s", error)
-        before = len(self.book.jobs)
+        before = len(self.cluster_state.jobs)
         if key == "options":
             self._apply_options(value or {})
         kind, _, rest = key.partition("/")
         leading = self.election.role is Role.LEADING
         acting = self.election.role in ACTING
-        late = acting and kind == "r" and value is not None and int(rest) not in self.book.rounds
-        self.book.on_key(key, value, stamp)
+        late = (
+            acting
+            and kind == "r"
+            and value is not None
+            and int(rest) not in self.cluster_state.rounds
+        )
+        self.cluster_state.on_key(key, value, stamp)
         if late and int(rest) >> 20 == self.election.epoch:
             # A claim of ours that counted although we had given it up, so that nothing of it was
             # sent; or a late copy of one that was settled, struck out, and so could be made again.
-            self.book.close_round(int(rest))
-            self.book.rounds[int(rest)] = set()
-        if kind == "j" and len(self.book.jobs) > before and leading:
-            job = self.book.jobs[-1]
+            self.cluster_state.close_round(int(rest))
+            self.cluster_state.rounds[int(rest)] = set()
+        if kind == "j" and len(self.cluster_state.jobs) > before and leading:
+            job = self.cluster_state.jobs[-1]
             now = asyncio.get_running_loop().time()
             self.provisioner.forecast.note_accepted(job, now)
             self.scheduler.wake.set()
@@ -196,19 +215,19 @@
     async def _on_elected(self) -> None:
         now = asyncio.get_running_loop().time()
         epoch = self.election.epoch
-        self.fleet.take_over(epoch, now, self.book.recorded_machines())
+        self.fleet.take_over(epoch, now, self.cluster_state.recorded_machines())
         self.scheduler.take_over(epoch)
         self.provisioner.take_over(now)
         self.zone_watch.clear()
         self._reports.clear()
-        unknown = sum(len(there) for there in self.book.on_machine.values())
+        unknown = sum(len(there) for there in self.cluster_state.on_machine.values())
         log.info(
             "take-over with epoch %d: state read up to revision %d (%.2f s ago);"
             " %d open jobs, %d starts and %d cloud calls to settle",
             epoch,
             self.watch_cache.revision,
             now - self.watch_cache.last_ok,
-            len(self.book.open),
+            len(self.cluster_state.open),
             unknown,
             len(self.provisioner.ops),
         )
@@ -230,7 +249,7 @@
             now - self.watch_cache.last_ok < READY_S,
             self._recent_reports(now),
             self.settings.zone,
-            asks=self.shares.base if self._writes.short(now) and self._may_ask(now) else 0.0,
+            asks=self.write_quota.base if self._writes.short(now) and self._may_ask(now) else 0.0,
         )
 
     def _on_heartbeat(self, heartbeat: Heartbeat) -> None:
@@ -240,7 +259,7 @@
         now = asyncio.get_running_loop().time()
         # Only who has not written for a while lends.
         asks = heartbeat.asks if self._writes.full(now) else 0.0
-        amount = self.shares.lend(heartbeat.node, asks, self._writes_of_late, now)
+        amount = self.write_quota.lend(heartbeat.node, asks, self._writes_of_late, now)
         self._set_write_rate(now)
         return amount
 
@@ -270,12 +289,12 @@
         if self.election.role not in ACTING or not self._may_ask(now):
             unheard = 0
         rates = self._write_rates
-        self.shares.base = rates.leader if self.election.role in ACTING else rates.follower
+        self.write_quota.base = rates.leader if self.election.role in ACTING else rates.follower
         # Beyond its share a leader may use, for siblings not heard from, half of what they have;
         # they may be alive. Together with what we leave free that stays within the limit.
         idle = unheard * rates.follower / 2
-        self.shares.extra = min(rates.unused, idle)
-        self._writes.set_rate(self.shares.rate(now), now)
+        self.write_quota.extra = min(rates.unused, idle)
+        self._writes.set_rate(self.write_quota.rate(now), now)
 
     def _recent_reports(self, now: float) -> int:
         window = 2 * self.settings.cluster.workers.report_s
@@ -404,14 +423,14 @@
 
     async def _store_catalog(self) -> None:
         """So that a controller started while the cloud is down still knows the machine types."""
-        if self.book.catalog is not None or not self.provisioner.machine_types:
+        if self.cluster_state.catalog is not None or not self.provisioner.machine_types:
             return
         value = msgspec.to_builtins(wire.Catalog(self.provisioner.catalog() or ()))
         if len(msgspec.json.encode(value)) > self.settings.cluster.state.value_kb * 1000:
             return
         outcome, _ = await self._claims.claim([wire.put(ROOT + "catalog", value)], "catalog")
         if outcome is Outcome.WON:
-            self.book.catalog = value
+            self.cluster_state.catalog = value
 
     async def _housekeeping(self) -> None:
         loop = asyncio.get_running_loop()
@@ -442,7 +461,7 @@
 
     def _judge_zones(self, now: float) -> None:
         """Say plainly when a zone falls over, and when it is back."""
-        names = self.book.names.zones
+        names = self.cluster_state.names.zones
         nodes = {names.index(zone): heard for zone, heard in self._zones_heard().items()}
         machines = self.fleet.machines.values()
         begun = max(self.election.elected_at, self.pause_detector.since)
--- a/petrelthread/emulator/soak.py
+++ b/petrelthread/emulator/soak.py
@@ -131,7 +131,9 @@
             injector.watch()
             world.judge.cancels()
             if world.judge.calm_at is not None:
-                world.judge.nothing_forgotten()
+                world.judge.nothing_forgotten(
+                    [j for j in world.jobs if world.judge.answers.get(j) not in FINAL]
+                )
                 world.judge.nobody_left_waiting()
 
     def _collect(self, world: LoopbackWorld) -> None:
--- a/petrelthread/fleet/table.py
+++ b/petrelthread/fleet/table.py
@@ -9,7 +9,7 @@
 from petrelthread import wire
 from petrelthread.fleet.failures import SUSPECT_ON, Failures, Trust
 from petrelthread.fleet.machine import Health, Machine
-from petrelthread.ledger import FINISHED, PENDING, Attempt, Book, Job, Op, move
+from petrelthread.ledger import FINISHED, PENDING, Attempt, ClusterState, Job, Op, move
 
 log = logging.getLogger(__name__)
 
@@ -28,8 +28,10 @@
 class Fleet:
     """All on the leader: nothing here is durable, everything can be read from the workers again."""
 
-    def __init__(self, book: Book, lease_s: float, report_s: float, hold_over_s: float) -> None:
-        self.book = book
+    def __init__(
+        self, cluster_state: ClusterState, lease_s: float, report_s: float, hold_over_s: float
+    ) -> None:
+        self.cluster_state = cluster_state
         self.lease_s = lease_s
         self.report_s = report_s
         self.hold_over_s = hold_over_s
@@ -47,18 +49,18 @@
     # ---- machines --------------------------------------------------------------------------
 
     def machine(self, name: str, now: float) -> Machine:
-        index = self.book.names.machines.index(name)
+        index = self.cluster_state.names.machines.index(name)
         found = self.machines.get(index)
         if found is None:
             found = self.machines[index] = Machine(index, name, now)
         return found
 
     def known(self, name: str) -> Machine | None:
-        index = self.book.names.machines.find(name)
+        index = self.cluster_state.names.machines.find(name)
         return None if index is None else self.machines.get(index)
 
     def attempts(self, machine: Machine) -> dict[tuple[int, int], Attempt]:
-        return self.book.on_machine.get(machine.index, {})
+        return self.cluster_state.on_machine.get(machine.index, {})
 
     def may_serve(self, machine: Machine) -> bool:
         """May be given work: it has heard us in this epoch, or was rented in it."""
@@ -78,26 +80,26 @@
         self.elected_at = now
         self.finished.clear()  # workers report again what is not durable
         self.failures.clear()
-        for job in self.book.open.values():
+        for job in self.cluster_state.open.values():
             if job.done:
                 self.failures.prove(job.index)
-            elif job.id in self.book.suspects:
+            elif job.id in self.cluster_state.suspects:
                 # Judged anew by each leader, such a job started all its tasks again each time.
-                names = self.book.names.machines
-                on = [names.index(name) for name in self.book.suspects[job.id]]
+                names = self.cluster_state.names.machines
+                on = [names.index(name) for name in self.cluster_state.suspects[job.id]]
                 self.failures.restore(job.index, on)
                 job.suspect_since = now
-        for index in self.book.on_machine:
-            self.machine(self.book.names.machines.name(index), now)
+        for index in self.cluster_state.on_machine:
+            self.machine(self.cluster_state.names.machines.name(index), now)
         for machine in list(self.machines.values()):
-            known = machine.name in recorded or machine.index in self.book.on_machine
+            known = machine.name in recorded or machine.index in self.cluster_state.on_machine
             if machine.health is Health.GONE or not known:
                 del self.machines[machine.index]
                 continue
             machine.heard_at = machine.known_at = now
             machine.idle_since = now
             machine.sending = 0
-            if machine.health is Health.BOOTING and machine.index in self.book.on_machine:
+            if machine.health is Health.BOOTING and machine.index in self.cluster_state.on_machine:
                 machine.move(Health.UP)  # it ran work, so it was up; now it has to be heard
             for attempt in self.attempts(machine).values():
                 if attempt.state in (Op.CONFIRMED, Op.DISPATCHING):
@@ -136,7 +138,7 @@
             why,
         )
         self._keep_progress(attempt, stopped=False)
-        self.book.release(attempt)
+        self.cluster_state.release(attempt)
         self.on_change()
 
     def _keep_progress(self, attempt: Attempt, stopped: bool) -> None:
@@ -161,7 +163,7 @@
             and now - machine.read_asked_at > READ_AGAIN_S
             and not machine.rental_key.startswith(f"c/{self.epoch}-")
         ]
-        return sorted(out, key=lambda machine: machine.index not in self.book.on_machine)
+        return sorted(out, key=lambda machine: machine.index not in self.cluster_state.on_machine)
 
     def serves(self, machine: Machine) -> bool:
         """Replicas of services are on it: each second that their loss goes unnoticed is lost."""
@@ -204,7 +206,7 @@
 
         Returns None for a report older than one seen already: its task list proves nothing.
         """
-        names = self.book.names
+        names = self.cluster_state.names
         machine = self.machine(report.perch, now)
         if (report.flight, report.tick) <= (machine.session, machine.tick):
             # Older than what is known, perhaps a copy. It was sent before the newest one came, so
@@ -306,11 +308,11 @@
                 self.on_change()
 
     def _tasks(self, machine: Machine, report: wire.Report, now: float) -> None:
-        book = self.book
+        cluster_state = self.cluster_state
         shown: set[tuple[int, int]] = set()
         for leg in report.legs:
             job_id, task = leg.task
-            job = book.by_id.get(job_id)
+            job = cluster_state.by_id.get(job_id)
             if job is None or not 0 <= task < job.tasks:
                 continue
             attempt = self.attempts(machine).get((job.index, task))
@@ -331,7 +333,7 @@
     def _stranger(
         self, machine: Machine, report: wire.Report, job: Job, task: int, leg: wire.Leg, now: float
     ) -> None:
-        """An attempt that the book does not hold for this machine."""
+        """An attempt that the cluster state does not hold for this machine."""
         if leg.status == wire.ENDED:
             if leg.cause == wire.CAUSE_DONE and not job.service:
                 self._completed(machine, job, task)
@@ -340,7 +342,9 @@
         if job.final is None and job.states[task] == PENDING:
             # It is there, whatever the records say: count it, so that nobody starts it elsewhere.
             log.info("machine %s runs %s/%d unrecorded: kept", machine.name, job.id, task)
-            attempt = self.book.add_attempt(leg.try_, job, task, machine.index, report.flight)
+            attempt = self.cluster_state.add_attempt(
+                leg.try_, job, task, machine.index, report.flight
+            )
             attempt.at = now
             self._shown(machine, attempt, leg, now)
 
@@ -358,7 +362,7 @@
             move(attempt, Op.CONFIRMED)
             if attempt.number >> 20 == self.epoch:
                 machine.ignored = 0
-        before = self.book.show(attempt, leg.status)
+        before = self.cluster_state.show(attempt, leg.status)
         if job.service and leg.status == wire.RUNNING and not attempt.proven_stable:
             attempt.proven_stable = 0 < attempt.running_at < now - REPLICA_PROVES_S
             if attempt.proven_stable:
@@ -380,7 +384,7 @@
             if job.final is None:
                 self._finish(job, attempt.task)
             else:
-                self.book.release(attempt, done=True)
+                self.cluster_state.release(attempt, done=True)
             return
         if leg.cause == wire.CAUSE_ERROR:
             self._failed(machine, job, attempt.task, now)
@@ -399,17 +403,17 @@
 
     def new_suspects(self) -> dict[str, list[str]]:
         """Jobs that fail everywhere and are not on record as such, with machines that show it."""
-        name = self.book.names.machines.name
+        name = self.cluster_state.names.machines.name
         return {
             job.id: [name(index) for index in sorted(self.failures.failed_on(job.index))[:SHOWN_ON]]
-            for job in map(self.book.jobs.__getitem__, self.failures.unproven())
-            if job.final is None and self.suspect(job) and job.id not in self.book.suspects
+            for job in map(self.cluster_state.jobs.__getitem__, self.failures.unproven())
+            if job.final is None and self.suspect(job) and job.id not in self.cluster_state.suspects
         }
 
     def cleared_suspects(self) -> list[str]:
         out = []
-        for job_id in self.book.suspects:
-            job = self.book.by_id.get(job_id)
+        for job_id in self.cluster_state.suspects:
+            job = self.cluster_state.by_id.get(job_id)
             if job is not None and (job.final is not None or not self.suspect(job)):
                 out.append(job_id)
         return out
@@ -482,7 +486,7 @@
         out: list[dict[str, Any]] = []
         for leg in report.legs:
             job_id, task = leg.task
-            job = self.book.by_id.get(job_id)
+            job = self.cluster_state.by_id.get(job_id)
             if leg.status != wire.ENDED and job is not None and job.final is not None:
                 out.append(wire.halt(job_id, task, leg.try_, 0))
         return out
@@ -497,10 +501,10 @@
         out: list[dict[str, Any]] = []
         there = self.attempts(machine)
         listed: set[tuple[int, int]] = set()
-        book = self.book
+        cluster_state = self.cluster_state
         for leg in report.legs:
             job_id, task = leg.task
-            job = book.by_id.get(job_id)
+            job = cluster_state.by_id.get(job_id)
             attempt = None if job is None else there.get((job.index, task))
             ours = attempt is not None and attempt.number == leg.try_
             if job is not None and ours:
@@ -539,7 +543,7 @@
         self, machine: Machine, job: Job | None, task: int, leg: wire.Leg, ours: bool
     ) -> bool:
         if job is None:
-            return False  # the book may lag; a job that never was does not reach a worker
+            return False  # the cluster state may lag; a job that never was does not reach a worker
         if (job.index, task, leg.try_) in machine.uncertain_starts:
             return False  # a late direct command would start it again
         if leg.cause == wire.CAUSE_DONE and not job.service:
@@ -552,7 +556,7 @@
     def tick_silence(self, now: float, silent_s: float) -> None:
         up = [m for m in self.machines.values() if m.health in (Health.UP, Health.DRAINING)]
         for job in self.failures.unproven():
-            if self.book.jobs[job].final is not None:
+            if self.cluster_state.jobs[job].final is not None:
                 self.failures.over(job)
         # If most seem deaf, it is rather our own voice that does not carry.
         many = 2 * sum(bool(m.not_receiving) for m in up) > max(2, len(up))
--- a/petrelthread/intake/intake.py
+++ b/petrelthread/intake/intake.py
@@ -14,7 +14,7 @@
 from petrelthread.http import Response, answer
 from petrelthread.http.server import refusal
 from petrelthread.intake.checks import CannotRun, NotYetKnown, TooLarge, check_runnable
-from petrelthread.ledger import Book, Job
+from petrelthread.ledger import ClusterState, Job
 from petrelthread.settings import Settings
 from petrelthread.store import (
     ROOT,
@@ -40,14 +40,14 @@
     def __init__(
         self,
         settings: Settings,
-        book: Book,
+        cluster_state: ClusterState,
         watch_cache: WatchCache,
         client: StateClient,
         machine_types: Callable[[], tuple[wire.MachineType, ...] | None],
     ) -> None:
         self._teams = {team.name: team for team in settings.cluster.teams}
         self._limits = settings.cluster.state
-        self._book = book
+        self._cluster_state = cluster_state
         self._watch_cache = watch_cache
         self._client = client
         self._machine_types = machine_types
@@ -77,7 +77,7 @@
             spec = wire.parse_job(body)
         except wire.BadRequest as error:
             return refusal(400, str(error))
-        if spec.name_id in self._book.by_id:
+        if spec.name_id in self._cluster_state.by_id:
             # Accepted once, it is never judged again, whatever the repeat says.
             return await self._state_of(spec.name_id)
         value = Job.encode(spec, time.time())
@@ -89,7 +89,7 @@
             # The watch cache may lag behind: an accepted job must never be told that it cannot run.
             if not await self._watch_cache.fresh():
                 return refusal(503, "state service unreachable", OUTAGE_RETRY_S)
-            if spec.name_id in self._book.by_id:
+            if spec.name_id in self._cluster_state.by_id:
                 return await self._state_of(spec.name_id)
             if isinstance(error, TooLarge):
                 return refusal(400, str(error))
@@ -184,11 +184,11 @@
         return await self._state_of(job_id)
 
     async def _state_of(self, job_id: str) -> Response:
-        job = self._book.by_id.get(job_id)
+        job = self._cluster_state.by_id.get(job_id)
         if job is None or job.final is None:  # final states never change: no need to look again
             if not await self._watch_cache.fresh():
                 return refusal(503, "state service unreachable", OUTAGE_RETRY_S)
-            job = self._book.by_id.get(job_id)
+            job = self._cluster_state.by_id.get(job_id)
         if job is None:
             return refusal(404, "no such job")
         running = 0 if job.final is not None else len(job.live)
@@ -198,7 +198,7 @@
         if not wire.JOB_ID.match(job_id):
             return refusal(404, "no such job")
         current = await self._state_of(job_id)
-        job = self._book.by_id.get(job_id)
+        job = self._cluster_state.by_id.get(job_id)
         if current.status != 200 or job is None:
             return current
         if job.final is None:
@@ -210,7 +210,7 @@
             except (StateDown, Unsure, NoSuchLease) as error:
                 log.debug("cancellation not written: %s", error)
                 return refusal(503, "state service unreachable", OUTAGE_RETRY_S)
-            self._book.finish(job_id, wire.ABORTED)
+            self._cluster_state.finish(job_id, wire.ABORTED)
         return answer(200, wire.job_answer(job_id, job.status))
 
     async def _final_of(self, job: Job) -> Response:
--- a/petrelthread/ledger/__init__.py
+++ b/petrelthread/ledger/__init__.py
@@ -1,29 +1,21 @@
 """Durable truth: jobs, finished tasks, and one record for every effect sent into the world."""
 
-from petrelthread.ledger.book import (
-    FINISHED,
-    PENDING,
-    STOPS,
-    Attempt,
-    Book,
-    Job,
-    NamesBook,
-    pack_done,
-    pack_round,
-)
 from petrelthread.ledger.claims import Claims, Outcome
+from petrelthread.ledger.cluster_state import STOPS, ClusterState
+from petrelthread.ledger.job import FINISHED, PENDING, Attempt, Interners, Job
 from petrelthread.ledger.operation import IllegalMove, Op, move
+from petrelthread.ledger.records import pack_done, pack_round
 
 __all__ = [
     "FINISHED",
     "PENDING",
     "STOPS",
     "Attempt",
-    "Book",
     "Claims",
+    "ClusterState",
     "IllegalMove",
+    "Interners",
     "Job",
-    "NamesBook",
     "Op",
     "Outcome",
     "move",
--- a/petrelthread/ledger/use.py
+++ b/petrelthread/ledger/use.py
@@ -1,7 +1,8 @@
 """What the attempts that may be on machines take there, and of their teams' limits.
 
 Kept as running figures: to add them up anew in every round, four times a second over 970 machines,
-took a third of the leader's time. Every change of an attempt that matters passes through ``Book``.
+took a third of the leader's time. Every change of an attempt that matters passes through
+``ClusterState``.
 """
 
 from __future__ import annotations
@@ -9,7 +10,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from petrelthread.ledger.book import Attempt
+    from petrelthread.ledger.job import Attempt
 
 
 class Taken(NamedTuple):
--- a/petrelthread/placement/round_claim.py
+++ b/petrelthread/placement/round_claim.py
@@ -8,7 +8,7 @@
 
 from petrelthread import wire
 from petrelthread.fleet import Fleet
-from petrelthread.ledger import FINISHED, STOPS, Attempt, Book, Job, pack_done, pack_round
+from petrelthread.ledger import FINISHED, STOPS, Attempt, ClusterState, Job, pack_done, pack_round
 from petrelthread.placement.start_check import Start, StartCheck
 from petrelthread.settings import State
 from petrelthread.store import ROOT
@@ -42,7 +42,7 @@
     def __init__(
         self,
         state: State,
-        book: Book,
+        cluster_state: ClusterState,
         fleet: Fleet,
         check: StartCheck,
         next_number: Callable[[], int],
@@ -51,7 +51,7 @@
     ) -> None:
         """``spare_writes``: how many writes may go into cleaning up. ``dead_keys``: settled records
         besides those of rounds, to be dropped; others add to it."""
-        self._book = book
+        self._cluster_state = cluster_state
         self._fleet = fleet
         self._check = check
         self._next_number = next_number
@@ -74,7 +74,7 @@
         completed: list[Job] = []
         partly: dict[str, list[int]] = {}
         for index, tasks in list(self._fleet.finished.items()):
-            job = self._book.jobs[index]
+            job = self._cluster_state.jobs[index]
             if job.final is not None:
                 del self._fleet.finished[index]
                 self._release_ended(job)
@@ -127,8 +127,10 @@
     def _add_clean_up(self, claim: RoundClaim, now: float) -> None:
         """Settled records go only when the write rate has room to spare: a round that waits for its
         turn behind a clean-up keeps tasks waiting."""
-        book = self._book
-        dead = [f"r/{n}" for n in book.dead_rounds()] + [f"d/{n}" for n in book.dead_done_records()]
+        cluster_state = self._cluster_state
+        dead = [f"r/{n}" for n in cluster_state.dead_rounds()] + [
+            f"d/{n}" for n in cluster_state.dead_done_records()
+        ]
         dead += [*self._dead_keys] + [f"s/{job_id}" for job_id in self._fleet.cleared_suspects()]
         written = len(claim.ops)
         room = min(self._ops_most - written, self.spare_writes(now) - written)
@@ -151,4 +153,4 @@
     def _release_ended(self, job: Job) -> None:
         for attempt in list(job.live.values()):
             if attempt.ended:
-                self._book.release(attempt, done=True)
+                self._cluster_state.release(attempt, done=True)
--- a/petrelthread/placement/scheduler.py
+++ b/petrelthread/placement/scheduler.py
@@ -15,8 +15,8 @@
 from petrelthread.ledger import (
     FINISHED,
     Attempt,
-    Book,
     Claims,
+    ClusterState,
     Job,
     Op,
     Outcome,
@@ -49,7 +49,7 @@
     def __init__(
         self,
         settings: Settings,
-        book: Book,
+        cluster_state: ClusterState,
         fleet: Fleet,
         claims: Claims,
         dispatch: Dispatch,
@@ -57,12 +57,12 @@
         refresh: Callable[[], Awaitable[bool]],
         spare_writes: Callable[[float], int],
     ) -> None:
-        self._book = book
+        self._cluster_state = cluster_state
         self._fleet = fleet
         self._claims = claims
         self._dispatch = dispatch
         self._view = view
-        self._stops = Stops(settings, book, fleet, view)
+        self._stops = Stops(settings, cluster_state, fleet, view)
         self._refresh = refresh
         self._number = 0
         self._cursor = 0
@@ -70,9 +70,9 @@
         self.dead_keys: list[str] = []  # records that are settled, to be dropped
         self.builder = ClaimBuilder(
             settings.cluster.state,
-            book,
+            cluster_state,
             fleet,
-            StartCheck(book, fleet, settings.cluster.teams),
+            StartCheck(cluster_state, fleet, settings.cluster.teams),
             self.next_number,
             spare_writes,
             self.dead_keys,
@@ -122,7 +122,7 @@
         """What the open jobs want placed, in the order in which they are served."""
         wanted = RoundRequests()
         for index, inside, _, overdue in self._view.turns():
-            job = self._book.jobs[index]
+            job = self._cluster_state.jobs[index]
             wanted.guaranteed[index] = inside
             if job.gang and job.live:
                 continue  # its other tasks are still there: they end, and all start anew together
@@ -185,7 +185,7 @@
         tasks: dict[int, Iterator[int]] = {}
         starts = []
         for job_index, machine_index in placed:
-            job = self._book.jobs[job_index]
+            job = self._cluster_state.jobs[job_index]
             if job_index not in tasks:
                 tasks[job_index] = job.pending_tasks()
             machine = self._fleet.machines[machine_index]
@@ -204,7 +204,7 @@
                 log.info(
                     "machine %s is kept for %s, which should have begun and fits nowhere",
                     self._fleet.machines[machine].name,
-                    self._book.jobs[job].id,
+                    self._cluster_state.jobs[job].id,
                 )
 
     async def round(self, now: float) -> bool:
@@ -239,15 +239,15 @@
     def _apply_claim(self, claim: RoundClaim, now: float) -> None:
         for key in claim.dropped:
             self._dropped(key)
-        self._book.suspects.update(claim.suspects)
+        self._cluster_state.suspects.update(claim.suspects)
         for job in claim.completed:
             self._complete(job)
         if claim.done_number:
-            self._book.apply_done(claim.done_number, claim.done_record)
+            self._cluster_state.apply_done(claim.done_number, claim.done_record)
             self._forget_finished(claim.done_record)
         launched: list[Attempt] = []
         for number, record in claim.rounds:
-            launched += self._book.apply_round(number, record, Op.DISPATCHING)
+            launched += self._cluster_state.apply_round(number, record, Op.DISPATCHING)
         for attempt in launched:
             attempt.at = now
             attempt.job.last_start_at = time.time()
@@ -260,13 +260,13 @@
     def _complete(self, job: Job) -> None:
         self._fleet.finished.pop(job.index, None)
         for attempt in list(job.live.values()):
-            self._book.release(attempt, done=True)
-        self._book.finish(job.id, wire.DONE)
+            self._cluster_state.release(attempt, done=True)
+        self._cluster_state.finish(job.id, wire.DONE)
         log.debug(
             "done %s (%s of %s): %d tasks, %.1f s after it was accepted, %.1f s at best",
             job.id,
-            self._book.names.classes.name(job.jobclass),
-            self._book.names.teams.name(job.team),
+            self._cluster_state.names.classes.name(job.jobclass),
+            self._cluster_state.names.teams.name(job.team),
             job.tasks,
             time.time() - job.accepted_at,
             self._view.waves(job, job.tasks) * self._view.estimates.run_s(job),
@@ -282,7 +282,7 @@
             " its other tasks in %s",
             attempt.job.id,
             attempt.task,
-            self._book.names.classes.name(attempt.job.jobclass),
+            self._cluster_state.names.classes.name(attempt.job.jobclass),
             machine.name,
             time.time() - attempt.job.accepted_at,
             "there" if cached else "to fetch",
@@ -295,7 +295,7 @@
     def _zone_name(self, machine: Machine | None) -> str:
         if machine is None or machine.zone < 0:
             return "unknown zone"
-        return self._book.names.zones.name(machine.zone)
+        return self._cluster_state.names.zones.name(machine.zone)
 
     def _other_zones(self, attempt: Attempt) -> str:
         """Where the job's other live tasks are, for the log: "zone: tasks, ..." or "none"."""
@@ -309,17 +309,17 @@
     def _dropped(self, key: str) -> None:
         kind, _, number = key.partition("/")
         if kind == "r":
-            self._book.rounds.pop(int(number), None)
+            self._cluster_state.rounds.pop(int(number), None)
         elif kind == "d":
-            self._book.done_records.pop(int(number), None)
+            self._cluster_state.done_records.pop(int(number), None)
         elif kind == "s":
-            self._book.suspects.pop(number, None)
+            self._cluster_state.suspects.pop(number, None)
         elif key in self.dead_keys:
             self.dead_keys.remove(key)
 
     def _forget_finished(self, record: list[Any]) -> None:
         for job_id, _ in record:
-            job = self._book.by_id[job_id]
+            job = self._cluster_state.by_id[job_id]
             tasks = self._fleet.finished.get(job.index)
             if tasks is None:
                 continue
--- a/petrelthread/placement/start_check.py
+++ b/petrelthread/placement/start_check.py
@@ -15,7 +15,7 @@
 from typing import NamedTuple
 
 from petrelthread.fleet import Fleet, Machine
-from petrelthread.ledger import PENDING, Book, Job
+from petrelthread.ledger import PENDING, ClusterState, Job
 from petrelthread.placement.occupancy import UNKNOWN_ZONE, JobOccupancy, spread_limit
 from petrelthread.settings import Team
 
@@ -69,9 +69,9 @@
     """Checks the starts of a round against the rules of PROTOCOL (wrong_place, quota, ran_twice,
     ran_cancelled)."""
 
-    def __init__(self, book: Book, fleet: Fleet, teams: Sequence[Team]) -> None:
-        """``teams``: in the order of the book's team indices."""
-        self._book = book
+    def __init__(self, cluster_state: ClusterState, fleet: Fleet, teams: Sequence[Team]) -> None:
+        """``teams``: in the order of the cluster state's team indices."""
+        self._cluster_state = cluster_state
         self._fleet = fleet
         self._teams = teams
 
@@ -135,7 +135,7 @@
         return None
 
     def _over_limit(self, job: Job, so_far: _Pass) -> Violation | None:
-        team, used = self._teams[job.team], self._book.use.team(job.team)
+        team, used = self._teams[job.team], self._cluster_state.use.team(job.team)
         cores = used.cores + so_far.cores.get(job.team, 0.0) + job.cores
         accelerators = used.accelerators + so_far.accelerators.get(job.team, 0.0)
         accelerators += job.accelerators
--- a/petrelthread/placement/stops.py
+++ b/petrelthread/placement/stops.py
@@ -8,7 +8,7 @@
 
 from petrelthread import wire
 from petrelthread.fleet import Fleet, Health
-from petrelthread.ledger import Attempt, Book, Job, Op
+from petrelthread.ledger import Attempt, ClusterState, Job, Op
 from petrelthread.placement.order import BEGIN_S
 from petrelthread.placement.place import PlacementRequest, QuotaHeadroom, Slot
 from petrelthread.placement.preempt import Victim, choose_victims, served_before
@@ -24,14 +24,16 @@
 
 
 class Stops:
-    def __init__(self, settings: Settings, book: Book, fleet: Fleet, view: View) -> None:
-        self._book = book
+    def __init__(
+        self, settings: Settings, cluster_state: ClusterState, fleet: Fleet, view: View
+    ) -> None:
+        self._cluster_state = cluster_state
         self._fleet = fleet
         self._view = view
         self._patience: dict[int, float] = {}
         for objective in settings.cluster.objectives:
             if objective.kind == "wait":
-                index = book.names.classes.index(objective.jobclass)
+                index = cluster_state.names.classes.index(objective.jobclass)
                 # A class may have several: the soonest counts. The last one of the file made jobs
                 # that should start within 4 s wait 10 s until room was made for them.
                 patience_s = PATIENCE_SHARE * objective.within_s
@@ -60,7 +62,7 @@
             return for_replicas
         victims: list[Victim] | None = None
         for request in requests:
-            job = self._book.jobs[request.job]
+            job = self._cluster_state.jobs[request.job]
             if job.service or self._fleet.suspect(job):
                 continue
             # A job that still gets room as it falls free does not need others to be stopped.
@@ -110,7 +112,7 @@
         """
         needs = []
         for request in requests:
-            job = self._book.jobs[request.job]
+            job = self._cluster_state.jobs[request.job]
             lacking = self._lacking(request, placed, teams) if job.service else 0
             if lacking <= 0 or request.single_zone or self._fleet.suspect(job):
                 continue
@@ -126,7 +128,7 @@
         maker = RoomMaker(room, self._victims(now), over)
         out = []
         for need in needs:
-            out += self._attempts(maker.make_room(need), self._book.jobs[need.request.job])
+            out += self._attempts(maker.make_room(need), self._cluster_state.jobs[need.request.job])
         return out
 
     def _lacking(
@@ -146,7 +148,7 @@
         """The attempts to stop for a job, with account of how often each task was stopped."""
         out = []
         for victim in victims:
-            attempt = self._book.jobs[victim.job].live.get(victim.task)
+            attempt = self._cluster_state.jobs[victim.job].live.get(victim.task)
             if attempt is None:
                 continue
             out.append(attempt)
@@ -161,7 +163,7 @@
         """Those that were told to stop a moment ago: their room is about to fall free."""
         return [
             attempt
-            for there in self._book.on_machine.values()
+            for there in self._cluster_state.on_machine.values()
             for attempt in there.values()
             if attempt.halted_at and not attempt.ended and now - attempt.halted_at < STOP_S
         ]
@@ -169,7 +171,7 @@
     def _victims(self, now: float) -> list[Victim]:
         out = []
         wall = time.time()
-        for there in self._book.on_machine.values():
+        for there in self._cluster_state.on_machine.values():
             for attempt in there.values():
                 job = attempt.job
                 if attempt.state is not Op.CONFIRMED or attempt.ended or attempt.halted_at:
--- a/petrelthread/placement/view.py
+++ b/petrelthread/placement/view.py
@@ -8,7 +8,7 @@
 
 from petrelthread import wire
 from petrelthread.fleet import Fleet, Health
-from petrelthread.ledger import Book, Job
+from petrelthread.ledger import ClusterState, Job
 from petrelthread.placement.occupancy import JobOccupancy
 from petrelthread.placement.order import LATE_S, Standing, Turn, order
 from petrelthread.placement.place import EPS, PlacementRequest, Slot
@@ -53,12 +53,12 @@
     def __init__(
         self,
         settings: Settings,
-        book: Book,
+        cluster_state: ClusterState,
         fleet: Fleet,
         machine_types: Callable[[], dict[int, wire.MachineType]],
         estimates: Estimates,
     ) -> None:
-        self._book = book
+        self._cluster_state = cluster_state
         self._fleet = fleet
         self._machine_types = machine_types
         self.estimates = estimates
@@ -67,7 +67,7 @@
         self._within: dict[int, list[float]] = {}  # by class: seconds to be done in
         self._times: dict[int, list[float]] = {}  # by class: multiples of the deadline
         for objective in settings.cluster.objectives:
-            index = book.names.classes.index(objective.jobclass)
+            index = cluster_state.names.classes.index(objective.jobclass)
             if objective.kind == "finished" and objective.within_s > 0:
                 self._within.setdefault(index, []).append(objective.within_s)
             elif objective.kind == "deadline":
@@ -85,7 +85,7 @@
             machine_type = machine_types.get(machine.type)
             if machine_type is None:
                 continue
-            taken = self._book.use.machine(machine.index)
+            taken = self._cluster_state.use.machine(machine.index)
             cores = machine_type.cores - taken.cores
             if cores + EPS < least_cores or not self._fleet.may_serve(machine):
                 continue
@@ -120,7 +120,10 @@
 
     def team_use(self) -> list[tuple[float, float]]:
         """What each team's tasks use or may be using, wherever they are."""
-        taken = (self._book.use.team(team) for team in range(len(self._book.names.teams)))
+        taken = (
+            self._cluster_state.use.team(team)
+            for team in range(len(self._cluster_state.names.teams))
+        )
         return [(team.cores, team.accelerators) for team in taken]
 
     def load(self) -> str:
@@ -136,13 +139,13 @@
             elif machine.health is Health.BOOTING:
                 booting += cores
         running = starting = 0.0
-        for there in self._book.on_machine.values():
+        for there in self._cluster_state.on_machine.values():
             for attempt in there.values():
                 if attempt.running_at and not attempt.ended:
                     running += attempt.job.cores
                 elif not attempt.ended:
                     starting += attempt.job.cores
-        waiting = sum(job.pending * job.cores for job in self._book.open.values())
+        waiting = sum(job.pending * job.cores for job in self._cluster_state.open.values())
         return (
             f"cores up {up:.0f} (retiring {retiring:.0f}), booting {booting:.0f}; running"
             f" {running:.0f}, starting {starting:.0f}, waiting {waiting:.0f}"
@@ -195,7 +198,7 @@
         # What fails everywhere is tried one task at a time: that one first, so that a job that was
         # only unlucky goes on soon. Nothing else is done for it and nothing else waits for it.
         turns = []
-        for job in self._book.open.values():
+        for job in self._cluster_state.open.values():
             if self._fleet.suspect(job):
                 turns.append(Turn(job.index, False, time.time() + LATE_S))
                 continue
--- a/petrelthread/rental/demand.py
+++ b/petrelthread/rental/demand.py
@@ -8,7 +8,7 @@
 
 from petrelthread import wire
 from petrelthread.fleet import Fleet
-from petrelthread.ledger import Book, Job
+from petrelthread.ledger import ClusterState, Job
 from petrelthread.placement.view import View
 from petrelthread.rental.plan import Demand
 from petrelthread.rental.reserve import Arrivals, standing_reserve
@@ -49,13 +49,13 @@
     def __init__(
         self,
         settings: Settings,
-        book: Book,
+        cluster_state: ClusterState,
         fleet: Fleet,
         view: View,
         machine_types: dict[int, wire.MachineType],
         zones_down: Collection[int],
     ) -> None:
-        self._book = book
+        self._cluster_state = cluster_state
         self._fleet = fleet
         self._view = view
         self._machine_types = machine_types
@@ -66,7 +66,7 @@
         self._start_within_s: dict[int, float] = {}
         for objective in settings.cluster.objectives:
             if objective.kind == "wait":
-                index = book.names.classes.index(objective.jobclass)
+                index = cluster_state.names.classes.index(objective.jobclass)
                 soonest = self._start_within_s.get(index, objective.within_s)
                 self._start_within_s[index] = min(soonest, objective.within_s)
 
@@ -77,7 +77,7 @@
         wall = time.time()
         seen = [
             (now - (wall - job.accepted_at), job.tasks * job.cores)
-            for job in self._book.jobs
+            for job in self._cluster_state.jobs
             if job.service
         ]
         self._services = Arrivals(seen, ramps=True)
@@ -103,7 +103,7 @@
         """Of services that are spread over all zones."""
         return sum(
             job.tasks * job.cores
-            for job in self._book.open.values()
+            for job in self._cluster_state.open.values()
             if job.service
             and job.spread_zones
             and job.zone is None
@@ -115,7 +115,7 @@
         return max(boots, default=UNKNOWN_BOOT_S)
 
     def _open_zones(self) -> list[int]:
-        names = self._book.names.zones
+        names = self._cluster_state.names.zones
         types = self._machine_types.values()
         zones = {names.index(zone) for machine_type in types for zone in machine_type.zones}
         return sorted(zone for zone in zones if zone not in self._zones_down)
@@ -126,7 +126,7 @@
         limits = [TeamLimit(team.most_cores, team.most_accelerators) for team in self._view.teams]
         demands = self._expected()
         for turn in self._view.turns():
-            job = self._book.jobs[turn.job]
+            job = self._cluster_state.jobs[turn.job]
             limit = limits[job.team]
             unfinished = self._unfinished(job, now)
             if unfinished <= 0:
@@ -209,11 +209,11 @@
         Judged by the usual boot time, the first services of a class waited a minute when boots
         were slow.
         """
-        if not self._book.open or not self._unseen_urgent_class():
+        if not self._cluster_state.open or not self._unseen_urgent_class():
             return []
         types = self._machine_types.values()
         smallest = min(types, key=lambda machine_type: (machine_type.cores, machine_type.price))
-        names = self._book.names.zones
+        names = self._cluster_state.names.zones
         in_all = math.ceil(EXPECTED_IN_ALL / max(1, len(smallest.zones)))
         return [
             Demand(
@@ -235,7 +235,7 @@
     def _unseen_urgent_class(self) -> bool:
         boots = (machine_type.boot_s for machine_type in self._machine_types.values())
         late_s = LATE_BOOT * min(boots, default=0.0)
-        seen = {job.jobclass for job in self._book.jobs}
+        seen = {job.jobclass for job in self._cluster_state.jobs}
         return any(
             within_s <= late_s and index not in seen
             for index, within_s in self._start_within_s.items()
--- a/petrelthread/rental/provisioner.py
+++ b/petrelthread/rental/provisioner.py
@@ -10,7 +10,7 @@
 
 from petrelthread import wire
 from petrelthread.fleet import Fleet, Health, Machine
-from petrelthread.ledger import Book, Claims, Op, Outcome, move
+from petrelthread.ledger import Claims, ClusterState, Op, Outcome, move
 from petrelthread.placement.scheduler import Scheduler
 from petrelthread.placement.view import View
 from petrelthread.rental.cloud import CloudClient, CloudDown, CloudUnsure, NoCapacity
@@ -55,7 +55,7 @@
     def __init__(
         self,
         settings: Settings,
-        book: Book,
+        cluster_state: ClusterState,
         fleet: Fleet,
         claims: Claims,
         cloud: CloudClient,
@@ -66,7 +66,7 @@
         zones_down: Collection[int] = (),
     ) -> None:
         self._settings = settings
-        self._book = book
+        self._cluster_state = cluster_state
         self._fleet = fleet
         self._claims = claims
         self._cloud = cloud
@@ -82,7 +82,9 @@
         self._listed_at = float("-inf")
         self._list_ok_at = float("-inf")  # when the newest list that was answered was asked for
         self._catalog_at = float("-inf")
-        self.forecast = DemandForecast(settings, book, fleet, view, self.machine_types, zones_down)
+        self.forecast = DemandForecast(
+            settings, cluster_state, fleet, view, self.machine_types, zones_down
+        )
         # That a worker may take to find a new leader and report to it.
         self._hear_s = 2 * settings.cluster.workers.report_s + 5.0
         # In one plan: as many as the cloud takes in a burst.
@@ -93,7 +95,9 @@
 
     def set_catalog(self, catalog: wire.Catalog) -> None:
         for machine_type in catalog.machine_types:
-            self.machine_types[self._book.names.types.index(machine_type.name)] = machine_type
+            self.machine_types[self._cluster_state.names.types.index(machine_type.name)] = (
+                machine_type
+            )
 
     def catalog(self) -> tuple[wire.MachineType, ...] | None:
         return tuple(self.machine_types.values()) or None
@@ -116,14 +120,14 @@
         self._serial = 0
         self._listed_at = float("-inf")
         self.forecast.take_over(now)
-        for charter, value in self._book.rentals.items():
+        for charter, value in self._cluster_state.rentals.items():
             op = CloudOp(f"c/{charter}", value, Op.UNKNOWN)
             op.unknown_at = now
             self.ops[op.key] = op
             if value.get("m") is not None:
                 move(op, Op.CONFIRMED)
                 self._machines_of(op, value["m"], now)
-        for number, names in self._book.returns.items():
+        for number, names in self._cluster_state.returns.items():
             op = CloudOp(f"x/{number}", names, Op.UNKNOWN)
             op.unknown_at = now
             self.ops[op.key] = op
@@ -138,8 +142,8 @@
             machine = self._fleet.machine(name, now)
             if not machine.rental_key:
                 machine.rental_key = op.key
-                machine.type = self._book.names.types.index(value["t"])
-                machine.zone = self._book.names.zones.index(value["z"])
+                machine.type = self._cluster_state.names.types.index(value["t"])
+                machine.zone = self._cluster_state.names.zones.index(value["z"])
                 machine.spot = bool(value["s"])
                 machine.rented_at = now - max(0.0, time.time() - float(value["at"]))
 
@@ -148,7 +152,9 @@
     async def step(self, now: float) -> None:
         """One turn: settle, plan, make the calls, list."""
         await self.read_catalog(now)
-        if self._listed_at == float("-inf") and (self._book.rentals or self._fleet.machines):
+        if self._listed_at == float("-inf") and (
+            self._cluster_state.rentals or self._fleet.machines
+        ):
             # The list tells a new leader where its workers are, so that it can read them.
             await self._read_list(now)
         await self._settle(now)
@@ -183,7 +189,7 @@
                 continue
             age_s = max(now - op.unknown_at, time.time() - float(op.value["at"]))
             old = age_s > 4 * self._settings.cluster.cloud.list_lag_s + 5.0
-            if self._book.open and not old:
+            if self._cluster_state.open and not old:
                 # Still wanted: the same charter again rents nothing twice.
                 await self._send_rent(op, now)
             elif old and self._list_ok_at > op.unknown_at:
@@ -197,8 +203,8 @@
 
     def _drop(self, op: CloudOp) -> None:
         self.ops.pop(op.key, None)
-        self._book.rentals.pop(op.key[2:], None)
-        self._book.returns.pop(op.key[2:], None)
+        self._cluster_state.rentals.pop(op.key[2:], None)
+        self._cluster_state.returns.pop(op.key[2:], None)
         self._scheduler.dead_keys.append(op.key)
 
     # ---- list ---------------------------------------------------------------------------------
@@ -221,8 +227,8 @@
                 machine.rented_at = now - entry.held_s
             machine.listed = True
             machine.addr = machine.addr or entry.addr
-            machine.type = self._book.names.types.index(entry.machine_type)
-            machine.zone = self._book.names.zones.index(entry.zone)
+            machine.type = self._cluster_state.names.types.index(entry.machine_type)
+            machine.zone = self._cluster_state.names.zones.index(entry.zone)
             machine.spot = entry.driftwood
             if entry.status == wire.HOST_FAILED and not machine.fault:
                 machine.fault = "listed as failed"
@@ -265,7 +271,7 @@
                 continue
             if machine.health is Health.BOOTING and machine.zone in self._zones_down:
                 continue
-            busy = machine.index in self._book.on_machine
+            busy = machine.index in self._cluster_state.on_machine
             idle = machine.health is Health.UP and not busy
             owned.append(
                 Owned(
@@ -295,7 +301,7 @@
         offers = []
         for index, machine_type in self.machine_types.items():
             for zone_name in machine_type.zones:
-                zone = self._book.names.zones.index(zone_name)
+                zone = self._cluster_state.names.zones.index(zone_name)
                 if zone in self._zones_down:
                     continue  # what boots there is paid for and cannot be reached
                 for spot in (True, False):
@@ -355,7 +361,7 @@
                 if machine in silent or now > self._fleet.gone_at(machine):
                     why = "silent"
             elif machine.health is Health.DRAINING and machine.notice_s is not None:
-                if machine.index not in self._book.on_machine:
+                if machine.index not in self._cluster_state.on_machine:
                     why = "drained before it is taken"
             elif machine.health is Health.BOOTING:
                 limit = max(LOST_BOOT * boot_s, boot_s + 2 * lag)
@@ -384,7 +390,7 @@
             return
         move(op, Op.DISPATCHING)
         self.ops[key] = op
-        self._book.returns[key[2:]] = names
+        self._cluster_state.returns[key[2:]] = names
         for machine in machines[: len(names)]:
             if machine.health is not Health.GONE:
                 machine.move(Health.RETURNING)
@@ -430,14 +436,14 @@
                 continue
             rental.value = {**rental.value, "m": left}
             if left:
-                self._book.rentals[rental.key[2:]] = rental.value
+                self._cluster_state.rentals[rental.key[2:]] = rental.value
                 ops.append(wire.put(ROOT + rental.key, rental.value))
             else:
                 self.ops.pop(rental.key)
-                self._book.rentals.pop(rental.key[2:], None)
+                self._cluster_state.rentals.pop(rental.key[2:], None)
                 ops.append(wire.drop(ROOT + rental.key))
         self.ops.pop(op.key, None)
-        self._book.returns.pop(op.key[2:], None)
+        self._cluster_state.returns.pop(op.key[2:], None)
         most = self._settings.cluster.state.txn_ops
         # The return goes last: until then a new leader asks once more, and learns the same.
         ops.append(ops.pop(0))
@@ -470,7 +476,7 @@
 
     async def _rent(self, rent: Rent, now: float) -> bool:
         """True unless the cloud gave less than was asked for. The call's turn has come."""
-        names = self._book.names
+        names = self._cluster_state.names
         key = f"c/{self._next()}"
         value = {
             "t": names.types.name(rent.type),
@@ -486,13 +492,13 @@
             return True
         move(op, Op.DISPATCHING)
         self.ops[key] = op
-        self._book.rentals[key[2:]] = value
+        self._cluster_state.rentals[key[2:]] = value
         await self._send_rent(op, now, paid=True)
         return self.refusals.open(rent.type, rent.zone, rent.spot, now)
 
     async def _send_rent(self, op: CloudOp, now: float, paid: bool = False) -> None:
         value = op.value
-        names = self._book.names
+        names = self._cluster_state.names
         offer = (names.types.index(value["t"]), names.zones.index(value["z"]), bool(value["s"]))
         kind = "spot" if value["s"] else "ordinary"
         op.busy = True
@@ -541,7 +547,7 @@
         )
         op.value = {**value, "m": list(got)}
         self._machines_of(op, op.value["m"], asyncio.get_running_loop().time())
-        self._book.rentals[op.key[2:]] = op.value
+        self._cluster_state.rentals[op.key[2:]] = op.value
         if got:
             await self._claims.claim([wire.put(ROOT + op.key, op.value)])
         else:
--- a/petrelthread/store/__init__.py
+++ b/petrelthread/store/__init__.py
@@ -12,8 +12,8 @@
     StateUnsure,
 )
 from petrelthread.store.rates import WriteRates
-from petrelthread.store.shares import Shares
 from petrelthread.store.watch_cache import ROOT, WatchCache
+from petrelthread.store.write_quota import WriteQuota
 
 __all__ = [
     "ROOT",
@@ -21,12 +21,12 @@
     "Conflict",
     "NoSuchLease",
     "Request",
-    "Shares",
     "StateBusy",
     "StateClient",
     "StateDown",
     "StateRefused",
     "StateUnsure",
     "WatchCache",
+    "WriteQuota",
     "WriteRates",
 ]
--- a/petrelthread/store/shares.py
+++ b/petrelthread/store/write_quota.py
@@ -21,7 +21,7 @@
     until: float
 
 
-class Shares:
+class WriteQuota:
     def __init__(self, base: float) -> None:
         self.base = base
         self.extra = 0.0  # beyond the base, where the limit's margin allows it
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -141,6 +141,23 @@
     assert play(run()) == []
 
 
+def test_only_jobs_that_users_ask_about_can_be_forgotten() -> None:
+    """The users of a soak stop asking once they know the final state."""
+
+    async def run() -> list[str]:
+        world = World()
+        for job_id, state in (("wk-000001", "done"), ("wk-000002", "running")):
+            world.jobs[job_id] = job(job_id, 0)
+            world.judge.told(job_id, 200, {"status": state})
+        world.judge.calm_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(80.0)
+        world.judge.nothing_forgotten(["wk-000002"])
+        return world.judge.broken
+
+    (broken,) = play(run())
+    assert broken.startswith("forgotten: no answer about wk-000002 for 80 s")
+
+
 # ---- faults and workload -------------------------------------------------------------------------
 
 
