--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios of several controllers, and the tests of the project as a whole."""
--- a/tests/test_added_rules.py
+++ b/tests/test_added_rules.py
@@ -8,11 +8,12 @@
 
 import pytest
 
+from petrelthread.emulator.worker import Worker
 from petrelthread.http import NoAnswer
 from petrelthread.leadership import Role
 from tests.test_faults import run
 from tests.virtual import play
-from tests.world import NODES, Worker, World, job
+from tests.world import NODES, World, job
 
 Scenario = Callable[[World], Awaitable[None]]
 
--- a/tests/test_formats.py
+++ b/tests/test_formats.py
@@ -50,7 +50,7 @@
     assert 4194305 >> 20 == 4  # the epoch that claimed it
 
 
-SHAPES = {
+SHAPES: dict[str, Any] = {
     r"pt/j/wk-\d+": [str, str, int, int, float, float, float, str, float],
     r"pt/f/wk-\d+": str,
     r"pt/r/\d+": list,
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -262,7 +262,9 @@
         lost = world.where("wk-000001/0")
         world.net.cut |= {frozenset((lost.name, n)) for n in NODES}
         world.net.cut.add(frozenset((leader, "cloud")))  # so that its return can't be confirmed
-        while node.fleet.known(lost.name).health not in (Health.SILENT, Health.RETURNING):
+        machine = node.fleet.known(lost.name)
+        assert machine is not None
+        while machine.health not in (Health.SILENT, Health.RETURNING):
             await asyncio.sleep(0.1)
         said = why(node, node.cluster_state.by_id["wk-000001"], now())
         assert f"may be on {lost.name}" in said and "confirmed" in said, said
