--- a/tests/world.py
+++ b/tests/world.py
@@ -21,6 +21,7 @@
 from petrelthread.emulator.judge import Judge
 from petrelthread.emulator.state_service import StateService
 from petrelthread.emulator.worker import Worker
+from petrelthread.emulator.workload import job_spec
 from petrelthread.emulator.world import Handler
 from petrelthread.http import NoAnswer, Reply
 from petrelthread.settings import Settings, parse
@@ -129,27 +130,7 @@
     return SMALL.settings_of(name)
 
 
-def job(job_id: str, tasks: int, **more: Any) -> dict[str, Any]:
-    spec = {
-        "name_id": job_id,
-        "jobclass": "batch",
-        "crew": "red",
-        "shape": "array",
-        "rank": "standard",
-        "legs": tasks,
-        "cores": 2.0,
-        "accelerators": 0.0,
-        "ram_gb": 2.0,
-        "bundle": "img-1",
-        "size_gb": 1.0,
-        "same_place": False,
-        "scatter": False,
-        "driftwood": True,
-        "guess_s": 5.0,
-        "mark_s": 0.0,
-        "stow_s": 0.0,
-    }
-    return {**spec, **more}
+job = job_spec
 
 
 class Net:
