--- a/petrelthread/emulator/loopback.py
+++ b/petrelthread/emulator/loopback.py
@@ -28,12 +28,19 @@
         loop.default_exception_handler(context)
 
 
-def free_port() -> int:
-    """A port that nobody listens on now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        port: int = probe.getsockname()[1]
-        return port
+def reserve_port() -> socket.socket:
+    """A socket bound to a port of its own. As long as it is open and does not listen, a controller
+    can listen there, and the system gives the port to nobody else: a port that was only looked up
+    was taken by another soak before the controller came up."""
+    bound = socket.socket()
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    bound.bind((HOST, 0))
+    return bound
+
+
+def address_of(bound: socket.socket) -> str:
+    """The address of a bound socket, as host:port."""
+    return f"{HOST}:{bound.getsockname()[1]}"
 
 
 class LoopbackNetwork:
@@ -50,17 +57,15 @@
 
     def new_address(self, name: str) -> str:
         """Reserve a port; nobody answers there before ``attach``."""
-        bound = socket.socket()
-        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        bound.bind((HOST, 0))
-        address = f"{HOST}:{bound.getsockname()[1]}"
+        bound = reserve_port()
+        address = address_of(bound)
         self._bound[address] = bound
         self._names[address] = name
         return address
 
-    def name_address(self, address: str, name: str) -> None:
-        """Say who listens at an address that is not ours."""
-        self._names[address] = name
+    def reserve_for_process(self, name: str) -> str:
+        """An address at which a process of that name will listen by itself."""
+        return self.new_address(name)
 
     def attach(self, address: str, name: str, handler: Handler) -> None:
         """Listen at a reserved address, for requests of any controller."""
--- a/petrelthread/emulator/loopback_world.py
+++ b/petrelthread/emulator/loopback_world.py
@@ -15,7 +15,7 @@
 from petrelthread.emulator.cloud import Cloud
 from petrelthread.emulator.faults import CLOUD, STATE, LinkFaults
 from petrelthread.emulator.judge import Judge
-from petrelthread.emulator.loopback import HOST, LoopbackNetwork, forwarder, free_port
+from petrelthread.emulator.loopback import LoopbackNetwork, forwarder
 from petrelthread.emulator.processes import (
     CANCEL_S,
     LEASE_S,
@@ -106,8 +106,8 @@
         self.store = StateService(TXN_OPS, self.judge.on_put)
         self.cloud = Cloud(self)
         self.controllers: list[ControllerProcess] = []
-        self._public = {name: f"{HOST}:{free_port()}" for name in names}
-        self._peers = {name: f"{HOST}:{free_port()}" for name in names}
+        self._public = {name: self.net.reserve_for_process(name) for name in names}
+        self._peers = {name: self.net.reserve_for_process(name) for name in names}
         self._options = options
         self._directory = directory
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -137,8 +137,6 @@
 
     async def start(self) -> None:
         """Links, settings and processes."""
-        for name in self.made_of.nodes:
-            self.net.name_address(self._public[name], name)
         for at, name in enumerate(self.made_of.nodes):
             addresses = await self._addresses(name)
             text = settings_text(name, ZONES[at % len(ZONES)], addresses)
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -18,6 +18,7 @@
 
 from petrelthread.cli.main import main
 from petrelthread.emulator.faults import STATE, FaultKind, LinkFaults, draw_faults
+from petrelthread.emulator.loopback import address_of, reserve_port
 from petrelthread.emulator.loopback_world import LoopbackOptions
 from petrelthread.emulator.soak import SeedResult, shown
 from petrelthread.emulator.worker import Worker
@@ -209,6 +210,25 @@
     assert links.copy_delay_s("/checkin") is None
 
 
+def test_a_reserved_port_goes_to_nobody_else_and_can_be_listened_on() -> None:
+    """Two soaks at once: a controller of one could not listen, the users of one asked the other's
+    controllers and were told 404 (seed 107)."""
+
+    async def listen() -> None:
+        with reserve_port() as reserved:
+            host, _, port = address_of(reserved).rpartition(":")
+            others = [reserve_port() for _ in range(300)]
+            assert address_of(reserved) not in {address_of(other) for other in others}
+            for other in others:
+                other.close()
+            server = await asyncio.start_server(lambda reader, writer: None, host, int(port))
+            with pytest.raises(OSError):
+                await asyncio.start_server(lambda reader, writer: None, host, int(port))
+            server.close()
+
+    asyncio.run(listen())
+
+
 # ---- the command ---------------------------------------------------------------------------------
 
 
