--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -51,13 +51,17 @@
 # ---- the judge -----------------------------------------------------------------------------------
 
 
-def test_a_single_zone_job_in_two_zones_is_seen() -> None:
+@pytest.mark.parametrize(
+    ("flag", "third_zone"),
+    [("same_place", "b"), ("scatter", "a")],  # a second zone; more than half in one zone
+)
+def test_a_third_task_in_the_wrong_zone_is_seen(flag: str, third_zone: str) -> None:
     def scenario(world: World) -> None:
-        world.jobs["wk-000001"] = job("wk-000001", 3, same_place=True)
+        world.jobs["wk-000001"] = job("wk-000001", 3, **{flag: True})
         start(world, "wk-000001/0", 1, "a")
         start(world, "wk-000001/1", 2, "a")
         assert not world.judge.broken
-        start(world, "wk-000001/2", 3, "b")
+        start(world, "wk-000001/2", 3, third_zone)
 
     assert [text.partition(":")[0] for text in judged(scenario)] == ["wrong_place"]
 
@@ -72,17 +76,6 @@
     assert judged(scenario) == []
 
 
-def test_more_than_half_of_a_spread_job_in_a_zone_is_seen() -> None:
-    def scenario(world: World) -> None:
-        world.jobs["wk-000001"] = job("wk-000001", 3, scatter=True)
-        start(world, "wk-000001/0", 1, "a")
-        start(world, "wk-000001/1", 2, "a")
-        assert not world.judge.broken
-        start(world, "wk-000001/2", 3, "a")
-
-    assert [text.partition(":")[0] for text in judged(scenario)] == ["wrong_place"]
-
-
 @pytest.mark.parametrize(
     ("spec", "machine"),
     [
