A round is sent though the watch shows it first; reports that come meanwhile count

The watch often shows the record of a round a moment before the claim's own answer is taken in.

A record that the watch shows while its claim is unanswered waits for the answer; the starts of a won claim are judged once more and only what still holds is made and sent; a gang that would be cut waits for the next claim; a leader whose numbers run out asks for a new epoch; one return names 100 machines at most. The stand-in cloud refuses calls over PROTOCOL's sizes.

New tests, each seen to fail with its guard taken out.

--- a/petrelthread/controller.py
+++ b/petrelthread/controller.py
@@ -19,11 +19,11 @@
 from petrelthread.http.server import refusal
 from petrelthread.intake import Intake
 from petrelthread.leadership import ACTING, Election, Role
-from petrelthread.ledger import Claims, ClusterState, Interners, Outcome
+from petrelthread.ledger import Claims, ClusterState, Interners, Outcome, epoch_of
 from petrelthread.pause_detector import PauseDetector
 from petrelthread.peers import Heartbeat, Heartbeats
 from petrelthread.peers.heartbeat import HEARTBEAT_PATH
-from petrelthread.placement.scheduler import Scheduler
+from petrelthread.placement.scheduler import SERIALS_KEPT, Scheduler
 from petrelthread.placement.view import Estimates, View
 from petrelthread.rental import CloudClient, Options
 from petrelthread.rental.provisioner import Provisioner
@@ -173,18 +173,9 @@
         kind, _, rest = key.partition("/")
         leading = self.election.role is Role.LEADING
         acting = self.election.role in ACTING
-        late = (
-            acting
-            and kind == "r"
-            and value is not None
-            and int(rest) not in self.cluster_state.rounds
-        )
+        if acting and kind == "r" and value is not None and self._own_round(int(rest), value):
+            return
         self.cluster_state.on_key(key, value, stamp)
-        if late and int(rest) >> 20 == self.election.epoch:
-            # A claim of ours that counted although we had given it up, so that nothing of it was
-            # sent; or a late copy of one that was settled, struck out, and so could be made again.
-            self.cluster_state.close_round(int(rest))
-            self.cluster_state.rounds[int(rest)] = set()
         if kind == "j" and len(self.cluster_state.jobs) > before and leading:
             job = self.cluster_state.jobs[-1]
             now = asyncio.get_running_loop().time()
@@ -194,6 +185,17 @@
         elif kind == "f" and leading:
             self.scheduler.wake.set()
 
+    def _own_round(self, number: int, record: Any) -> bool:
+        """Whether a record that the watch shows is dealt with here, as one of this very epoch."""
+        if self.scheduler.defer_record(number, record):
+            return True
+        if number in self.cluster_state.rounds or epoch_of(number) != self.election.epoch:
+            return False
+        # A claim of ours that counted although we had given it up, so that nothing of it was
+        # sent; or a late copy of one that was settled, struck out, and so could be made again.
+        self.cluster_state.settle_unsent_round(number)
+        return True
+
     def _apply_options(self, stored: dict[str, Any]) -> None:
         values = with_defaults(stored)
         self.options = rental_options(values)
@@ -394,7 +396,9 @@
                     silence_at = now
                     self.fleet.tick_silence(now, self._silent_s)
                     self.dispatch.probe(now)
-                if await self.scheduler.round(now):
+                if self.scheduler.numbers_left() < SERIALS_KEPT:
+                    await self.election.resign("the numbers of this epoch are used up", 0.0)
+                elif await self.scheduler.round(now):
                     wake.set()
             except Exception:
                 log.exception("round failed")
--- a/petrelthread/emulator/cloud.py
+++ b/petrelthread/emulator/cloud.py
@@ -12,6 +12,8 @@
 from petrelthread.emulator.world import World
 
 LIST_LAG_S = 4.0  # a machine younger than this is not listed yet
+RETURN_MOST = 100  # names in one call
+RENT_MOST = 50  # machines asked for in one call
 
 
 class Cloud:
@@ -35,6 +37,8 @@
         now = asyncio.get_running_loop().time()
         if path == "/catalog":
             return 200, {"hulls": list(self.world.made_of.hulls)}
+        if path == "/hosts/return" and len(body["perches"]) > RETURN_MOST:
+            return 400, {"error": f"more than {RETURN_MOST} names"}
         if path == "/hosts/return":
             for name in body["perches"]:
                 self.remove(name)
@@ -49,6 +53,8 @@
             ]
             most = self.world.made_of.pages
             return 200, {"perches": shown[:most], "more": len(shown) > most}
+        if not 0 < body["count"] <= RENT_MOST:
+            return 400, {"error": f"count must be 1 to {RENT_MOST}"}
         charter = body["charter"]
         self.asked.setdefault(charter, set()).add(orjson.dumps(body).decode())
         if charter not in self.charters:
--- a/petrelthread/fleet/table.py
+++ b/petrelthread/fleet/table.py
@@ -9,7 +9,7 @@
 from petrelthread import wire
 from petrelthread.fleet.failures import SUSPECT_ON, Failures, Trust
 from petrelthread.fleet.machine import Health, Machine
-from petrelthread.ledger import FINISHED, PENDING, Attempt, ClusterState, Job, Op, move
+from petrelthread.ledger import FINISHED, PENDING, Attempt, ClusterState, Job, Op, epoch_of, move
 
 log = logging.getLogger(__name__)
 
@@ -317,7 +317,8 @@
                 continue
             attempt = self.attempts(machine).get((job.index, task))
             if attempt is None or attempt.number != leg.try_:
-                self._stranger(machine, report, job, task, leg, now)
+                if self._stranger(machine, report, job, task, leg, now):
+                    shown.add((job.index, task))
                 continue
             shown.add((job.index, task))
             self._shown(machine, attempt, leg, now)
@@ -332,13 +333,13 @@
 
     def _stranger(
         self, machine: Machine, report: wire.Report, job: Job, task: int, leg: wire.Leg, now: float
-    ) -> None:
-        """An attempt that the cluster state does not hold for this machine."""
+    ) -> bool:
+        """An attempt that the cluster state does not hold for this machine. True if it now does."""
         if leg.status == wire.ENDED:
             if leg.cause == wire.CAUSE_DONE and not job.service:
                 self._completed(machine, job, task)
                 self._finish(job, task)
-            return
+            return False
         if job.final is None and job.states[task] == PENDING:
             # It is there, whatever the records say: count it, so that nobody starts it elsewhere.
             log.info("machine %s runs %s/%d unrecorded: kept", machine.name, job.id, task)
@@ -347,6 +348,8 @@
             )
             attempt.at = now
             self._shown(machine, attempt, leg, now)
+            return True
+        return False
 
     def _finish(self, job: Job, task: int) -> None:
         if job.final is None and job.states[task] != FINISHED:
@@ -360,7 +363,7 @@
         job = attempt.job
         if attempt.state is not Op.CONFIRMED:
             move(attempt, Op.CONFIRMED)
-            if attempt.number >> 20 == self.epoch:
+            if epoch_of(attempt.number) == self.epoch:
                 machine.ignored = 0
         before = self.cluster_state.show(attempt, leg.status)
         if job.service and leg.status == wire.RUNNING and not attempt.proven_stable:
@@ -470,7 +473,7 @@
             if not attempt.ended:
                 self._over(attempt, f"{machine.name} no longer lists it")
             return
-        if attempt.number >> 20 == self.epoch:
+        if epoch_of(attempt.number) == self.epoch:
             return  # ours, lost on the way: orders() sends it again
         if machine.seen_token >= self.epoch:
             # No older leader's command can start it any more.
@@ -524,7 +527,7 @@
         for key, attempt in list(there.items()):
             if key in listed or attempt.session != report.flight or attempt.ended:
                 continue
-            if attempt.number >> 20 != self.epoch:
+            if epoch_of(attempt.number) != self.epoch:
                 continue
             if self.unwanted(attempt) or attempt.halted_at:
                 if (*key, attempt.number) not in machine.uncertain_starts:
--- a/petrelthread/fleet/test_table.py
+++ b/petrelthread/fleet/test_table.py
@@ -233,3 +233,18 @@
     assert set(fleet.machines.values()) == {with_work, rented}
     assert rented.known_at == 300.0  # whether it came up meanwhile is not known
     assert fleet.known(gone.name) is None
+
+
+def test_a_task_found_running_without_a_record_is_kept_and_counted() -> None:
+    """It was added and, not being among what the report had shown of our attempts, released again
+    at once: free to be started elsewhere while it ran."""
+    fleet = fleet_at(100.0)
+    fleet.on_report(report(1, EPOCH), 100.5, answered=True)
+    running = report(2, EPOCH, legs=((0, (EPOCH - 1) << 20, "running"),))
+    machine = fleet.on_report(running, 101.0, answered=True)
+    assert machine is not None
+    job_found = fleet.cluster_state.jobs[0]
+    assert job_found.live[0].machine == machine.index
+    assert 0 not in list(job_found.pending_tasks())
+    assert fleet.cluster_state.use.machine(machine.index).attempts == 1
+    assert fleet.orders(machine, running, 101.0) == []
--- a/petrelthread/ledger/__init__.py
+++ b/petrelthread/ledger/__init__.py
@@ -4,11 +4,12 @@
 from petrelthread.ledger.cluster_state import STOPS, ClusterState
 from petrelthread.ledger.job import FINISHED, PENDING, Attempt, Interners, Job
 from petrelthread.ledger.operation import IllegalMove, Op, move
-from petrelthread.ledger.records import pack_done, pack_round
+from petrelthread.ledger.records import SERIALS, epoch_of, first_number, pack_done, pack_round
 
 __all__ = [
     "FINISHED",
     "PENDING",
+    "SERIALS",
     "STOPS",
     "Attempt",
     "Claims",
@@ -18,6 +19,8 @@
     "Job",
     "Op",
     "Outcome",
+    "epoch_of",
+    "first_number",
     "move",
     "pack_done",
     "pack_round",
--- a/petrelthread/ledger/cluster_state.py
+++ b/petrelthread/ledger/cluster_state.py
@@ -14,6 +14,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from typing import Any
 
 from petrelthread import wire
@@ -174,7 +175,17 @@
                 self.use.add(attempt)
         return before
 
-    def apply_round(self, number: int, value: list[Any], state: Op = Op.UNKNOWN) -> list[Attempt]:
+    def apply_round(
+        self,
+        number: int,
+        value: list[Any],
+        state: Op = Op.UNKNOWN,
+        unsent: Collection[tuple[int, int]] = (),
+    ) -> list[Attempt]:
+        """The attempts that a round's record makes, in the given state.
+
+        ``unsent``: job and task of starts that are on record and will never be sent.
+        """
         if number in self.rounds:
             return []
         self.rounds[number] = set()
@@ -191,6 +202,8 @@
                 for task in tasks:
                     if job.final is None and job.states[task] == FINISHED:
                         continue
+                    if (job.index, task) in unsent:
+                        continue
                     older = job.live.get(task)
                     if older is not None:
                         # A leader claims a task anew only after the older attempt was settled.
@@ -208,6 +221,11 @@
                 if attempt is not None and attempt.number < number:
                     attempt.halted_at = 1.0
 
+    def settle_unsent_round(self, number: int) -> None:
+        """A round of which nothing was sent, or which is settled: its record makes no attempts."""
+        self.close_round(number)
+        self.rounds[number] = set()
+
     def close_round(self, number: int) -> None:
         for attempt in list(self.rounds.pop(number, ())):
             self.release(attempt)
--- a/petrelthread/ledger/records.py
+++ b/petrelthread/ledger/records.py
@@ -1,10 +1,23 @@
-"""Records of rounds and of finished tasks: packed into values of limited size."""
+"""Records of rounds and of finished tasks: their numbers, and values of limited size."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
 from typing import Any
 
+EPOCH_SHIFT = 20  # a record's number is ``epoch << EPOCH_SHIFT | serial``
+SERIALS = 1 << EPOCH_SHIFT  # record numbers that one epoch has
+
+
+def epoch_of(number: int) -> int:
+    """The epoch whose leader wrote the record with this number."""
+    return number >> EPOCH_SHIFT
+
+
+def first_number(epoch: int) -> int:
+    """The number before an epoch's first record."""
+    return epoch << EPOCH_SHIFT
+
 
 def pack_round(placements: Iterable[tuple[str, int, str, int]], limit: int) -> list[Any]:
     """(machine, session, job, task) grouped into record values of at most ``limit`` bytes."""
--- a/petrelthread/placement/round_claim.py
+++ b/petrelthread/placement/round_claim.py
@@ -31,11 +31,24 @@
     done_number: int = 0
     done_record: list[Any] = field(default_factory=list)
     rounds: list[tuple[int, Any]] = field(default_factory=list)  # number and record
+    starts: list[Start] = field(default_factory=list)  # those that its rounds record
     suspects: dict[str, list[str]] = field(default_factory=dict)
     dropped: list[str] = field(default_factory=list)
     more: bool = False  # some of it had to wait for the next round
 
 
+def _tasks_in(records: list[Any]) -> set[tuple[str, int]]:
+    """Job and task of each start in the records of a round."""
+    return {
+        (job_id, task)
+        for record in records
+        for machine, _, jobs in record
+        if machine != STOPS
+        for job_id, tasks in jobs
+        for task in tasks
+    }
+
+
 class ClaimBuilder:
     """Puts together the transaction of one round, within the limits of the state service."""
 
@@ -108,16 +121,38 @@
     def _add_rounds(self, claim: RoundClaim, starts: list[Start]) -> None:
         admitted, _ = self._check.admit(starts)
         wanted, cut = self._while_wanted(admitted, claim.absent)
-        entries = [(m.name, m.session, job.id, task) for job, task, m in wanted]
-        entries += [(STOPS, 0, a.job.id, a.task) for a in claim.stops]
-        records = pack_round(entries, self._value_most)
-        for record in records[: max(1, self._ops_most - len(claim.ops))]:
+        most = max(1, self._ops_most - len(claim.ops))
+        records = self._pack(wanted, claim.stops)
+        # A gang starts whole or not at all: one whose starts would not all be in this claim waits
+        # for the next. Without it the records are packed anew.
+        while split := self._gangs_beyond(records, wanted, most):
+            wanted = [start for start in wanted if start.job.id not in split]
+            records, cut = self._pack(wanted, claim.stops), True
+        for record in records[:most]:
             number = self._next_number()
             claim.rounds.append((number, record))
             claim.ops.append(wire.put(f"{ROOT}r/{number}", record))
             claim.marker = claim.marker or f"r/{number}"
+        recorded = _tasks_in(records[:most])
+        claim.starts = [start for start in wanted if (start.job.id, start.task) in recorded]
         claim.more = cut or len(claim.rounds) < len(records)
 
+    def _pack(self, starts: list[Start], stops: list[Attempt]) -> list[Any]:
+        entries = [(m.name, m.session, job.id, task) for job, task, m in starts]
+        entries += [(STOPS, 0, a.job.id, a.task) for a in stops]
+        return pack_round(entries, self._value_most)
+
+    @staticmethod
+    def _gangs_beyond(records: list[Any], starts: list[Start], most: int) -> set[str]:
+        """Gangs that would start without the tasks that stand in records beyond the first ``most``.
+
+        A gang too large for a claim of its own is left as it is: it can't start otherwise.
+        """
+        beyond = {job_id for job_id, _ in _tasks_in(records[most:])}
+        gangs = {start.job.id for start in starts if start.job.gang}
+        alone = len({start.job.id for start in starts}) == 1
+        return set() if alone else beyond & gangs
+
     def _add_suspects(self, claim: RoundClaim) -> None:
         suspects = self._fleet.new_suspects()
         for job_id in list(suspects)[: max(0, self._ops_most - len(claim.ops))]:
--- a/petrelthread/placement/scheduler.py
+++ b/petrelthread/placement/scheduler.py
@@ -14,12 +14,15 @@
 from petrelthread.fleet import Dispatch, Fleet, Machine
 from petrelthread.ledger import (
     FINISHED,
+    SERIALS,
     Attempt,
     Claims,
     ClusterState,
     Job,
     Op,
     Outcome,
+    epoch_of,
+    first_number,
 )
 from petrelthread.placement.place import PlacementRequest, QuotaHeadroom, Slot, place
 from petrelthread.placement.reservations import reserve_machines
@@ -31,7 +34,7 @@
 
 log = logging.getLogger(__name__)
 
-EPOCH_SHIFT = 20  # a round's number is ``epoch << EPOCH_SHIFT | serial``
+SERIALS_KEPT = 4096  # of an epoch's record numbers: the leader then asks for a new epoch
 
 
 @dataclass
@@ -68,11 +71,14 @@
         self._cursor = 0
         self.reserved: dict[int, int] = {}  # by job that should have begun: the machine kept for it
         self.dead_keys: list[str] = []  # records that are settled, to be dropped
+        # Rounds whose claim is not answered yet, with the record once a watch has shown it.
+        self._under_claim: dict[int, Any] = {}
+        self._check = StartCheck(cluster_state, fleet, settings.cluster.teams)
         self.builder = ClaimBuilder(
             settings.cluster.state,
             cluster_state,
             fleet,
-            StartCheck(cluster_state, fleet, settings.cluster.teams),
+            self._check,
             self.next_number,
             spare_writes,
             self.dead_keys,
@@ -82,7 +88,7 @@
         self.wake = asyncio.Event()
 
     def take_over(self, epoch: int) -> None:
-        self._number = epoch << EPOCH_SHIFT
+        self._number = first_number(epoch)
         self._cursor = 0
         self.reserved.clear()
         self.dead_keys.clear()
@@ -214,7 +220,7 @@
         claim = self.builder.build(starts, stops + preempted, now)
         if not claim.ops:
             return False
-        outcome, failed = await self._claims.claim(claim.ops, claim.marker, tuple(claim.absent))
+        outcome, failed = await self._claim(claim)
         log.debug(
             "round %s of epoch %d: claim %s; %d starts, %d stops, decided at %.3f s",
             claim.marker,
@@ -234,6 +240,41 @@
         self._apply_claim(claim, now)
         return claim.more or bool(self._fleet.finished)
 
+    async def _claim(self, claim: RoundClaim) -> tuple[Outcome, tuple[str, ...]]:
+        self._under_claim = dict.fromkeys(number for number, _ in claim.rounds)
+        try:
+            outcome, failed = await self._claims.claim(claim.ops, claim.marker, tuple(claim.absent))
+        finally:
+            shown, self._under_claim = self._under_claim, {}
+        if outcome is not Outcome.WON:
+            for number, record in shown.items():
+                if record is not None:
+                    self._apply_given_up(number, record, outcome)
+        return outcome, failed
+
+    def defer_record(self, number: int, record: Any) -> bool:
+        """A watch shows a round's record. True if its claim is still unanswered here, so that the
+        answer, which is on its way, decides what becomes of it.
+
+        Taken for a late copy of a settled round, more than half of the rounds of a calm day were
+        struck out a moment before they were won, and nothing of them was sent.
+        """
+        if number not in self._under_claim:
+            return False
+        self._under_claim[number] = record
+        return True
+
+    def _apply_given_up(self, number: int, record: Any, outcome: Outcome) -> None:
+        """The round counts although its claim was given up, so nothing of it was sent."""
+        if outcome is Outcome.FENCED:
+            self._cluster_state.apply_round(number, record)  # as any controller takes it
+        else:
+            self._cluster_state.settle_unsent_round(number)
+
+    def numbers_left(self) -> int:
+        """How many records this epoch may still write; numbers are never used twice."""
+        return first_number(self._fleet.epoch) + SERIALS - 1 - self._number
+
     # ---- what a won claim changes -----------------------------------------------------------
 
     def _apply_claim(self, claim: RoundClaim, now: float) -> None:
@@ -245,9 +286,10 @@
         if claim.done_number:
             self._cluster_state.apply_done(claim.done_number, claim.done_record)
             self._forget_finished(claim.done_record)
+        unsent = self._no_longer_allowed(claim)
         launched: list[Attempt] = []
         for number, record in claim.rounds:
-            launched += self._cluster_state.apply_round(number, record, Op.DISPATCHING)
+            launched += self._cluster_state.apply_round(number, record, Op.DISPATCHING, unsent)
         for attempt in launched:
             attempt.at = now
             attempt.job.last_start_at = time.time()
@@ -257,6 +299,20 @@
             attempt.halted_at = now
         self._dispatch.send(launched, stopped)
 
+    def _no_longer_allowed(self, claim: RoundClaim) -> set[tuple[int, int]]:
+        """Starts of the claim that what came in while it was under way forbids: they are on record
+        and are not sent. A report may have shown the task elsewhere, or the machine be lost."""
+        _, refused = self._check.judge(claim.starts)
+        for start, violation in refused:
+            log.info(
+                "start of %s/%d on %s is not sent: %s since it was decided",
+                start.job.id,
+                start.task,
+                start.machine.name,
+                violation.value,
+            )
+        return {(start.job.index, start.task) for start, _ in refused}
+
     def _complete(self, job: Job) -> None:
         self._fleet.finished.pop(job.index, None)
         for attempt in list(job.live.values()):
@@ -287,7 +343,7 @@
             time.time() - attempt.job.accepted_at,
             "there" if cached else "to fetch",
             attempt.number,
-            attempt.number >> EPOCH_SHIFT,
+            epoch_of(attempt.number),
             self._zone_name(machine),
             self._other_zones(attempt),
         )
--- a/petrelthread/placement/start_check.py
+++ b/petrelthread/placement/start_check.py
@@ -76,7 +76,21 @@
         self._teams = teams
 
     def admit(self, starts: Sequence[Start]) -> tuple[list[Start], list[RefusedStart]]:
-        """The starts that may be claimed, in order, and those that may not."""
+        """The starts that may be claimed, in order, and those that may not: these are a fault of
+        the decision, and reported as such."""
+        admitted, refused = self.judge(starts)
+        for start, violation in refused:
+            log.error(
+                "start of %s/%d on %s left out: %s",
+                start.job.id,
+                start.task,
+                start.machine.name,
+                violation.value,
+            )
+        return admitted, refused
+
+    def judge(self, starts: Sequence[Start]) -> tuple[list[Start], list[RefusedStart]]:
+        """The starts that no rule forbids as things stand now, in order, and the others."""
         so_far = _Pass()
         admitted: list[Start] = []
         refused: list[RefusedStart] = []
@@ -92,14 +106,6 @@
             split = [start for start in admitted if start.job.index in broken]
             refused += [RefusedStart(start, Violation.GANG) for start in split]
             admitted = [start for start in admitted if start.job.index not in broken]
-        for start, violation in refused:
-            log.error(
-                "start of %s/%d on %s left out: %s",
-                start.job.id,
-                start.task,
-                start.machine.name,
-                violation.value,
-            )
         return admitted, refused
 
     def _violation(self, start: Start, so_far: _Pass) -> Violation | None:
--- a/petrelthread/placement/test_scheduler.py
+++ b/petrelthread/placement/test_scheduler.py
@@ -11,7 +11,7 @@
 
 from petrelthread import wire
 from petrelthread.fleet import Dispatch, Fleet, Health, Machine
-from petrelthread.ledger import Claims, ClusterState, Interners, Job
+from petrelthread.ledger import Attempt, Claims, ClusterState, Interners, Job, Outcome, first_number
 from petrelthread.placement.order import BEGIN_S
 from petrelthread.placement.round_claim import ClaimBuilder
 from petrelthread.placement.scheduler import Scheduler
@@ -26,10 +26,35 @@
 ZONES = ("a", "b", "c")
 
 
+class ScriptedClaims:
+    """Wins every claim; ``meanwhile`` happens while it is under way."""
+
+    def __init__(self) -> None:
+        self.meanwhile: Callable[[], None] = lambda: None
+
+    async def claim(
+        self, ops: list[dict[str, Any]], marker: str | None = None, absent: tuple[str, ...] = ()
+    ) -> tuple[Outcome, tuple[str, ...]]:
+        self.meanwhile()
+        return Outcome.WON, ()
+
+
+class RecordingDispatch:
+    """Keeps what would be sent."""
+
+    def __init__(self) -> None:
+        self.launched: list[Attempt] = []
+
+    def send(self, launches: list[Attempt], stops: list[Attempt]) -> None:
+        self.launched += launches
+
+
 class Cluster:
     """The leader's knowledge, with a real scheduler over it; nothing is ever sent."""
 
     def __init__(self) -> None:
+        self.claims = ScriptedClaims()
+        self.dispatch = RecordingDispatch()
         text = SETTINGS.format(name="n0", siblings="").replace('["a", "b"]', '["a", "b", "c"]')
         self.settings: Settings = parse(text)
         self.names = Interners([team.name for team in self.settings.cluster.teams], ZONES)
@@ -47,8 +72,8 @@
             self.settings,
             self.cluster_state,
             self.fleet,
-            cast(Claims, None),
-            cast(Dispatch, None),
+            cast(Claims, self.claims),
+            cast(Dispatch, self.dispatch),
             view,
             refresh,
             lambda now: 0,
@@ -72,7 +97,7 @@
         machine.session, machine.epoch_heard, machine.health = 1, EPOCH, Health.UP
         if taken_cores:
             other = self.accept(job(f"wk-9{number:05d}", 1, cores=taken_cores, crew="guest"))
-            self.cluster_state.add_attempt((EPOCH << 20) - 1, other, 0, machine.index, 1)
+            self.cluster_state.add_attempt(first_number(EPOCH) - 1, other, 0, machine.index, 1)
         return machine
 
     def accept(self, spec: dict[str, Any], waited_s: float = 0.0) -> Job:
--- a/petrelthread/rental/provisioner.py
+++ b/petrelthread/rental/provisioner.py
@@ -34,6 +34,8 @@
 CATALOG_EVERY_S = 60.0
 REPEAT_S = 1.5
 REPLANS = 10
+VALUE_SHARE = 0.8  # of the largest value that the state service takes
+QUOTES_AND_COMMA = 3  # bytes that a name takes in a JSON list besides its letters
 LOST_BOOT = 2.5  # and later than this it is given back
 
 
@@ -372,17 +374,12 @@
             if why:
                 log.info("returning machine %s: %s", machine.name, why)
                 out.append(machine)
-        return list({m.index: m for m in out}.values())[: wire.RETURN_MOST]
+        return list({m.index: m for m in out}.values())
 
     async def _return(self, machines: list[Machine], now: float) -> None:
         if not machines:
             return
-        limit = int(self._settings.cluster.state.value_kb * 1024 * 0.8)
-        names: list[str] = []
-        for machine in machines:
-            if sum(len(n) + 3 for n in names) + len(machine.name) + 3 > limit:
-                break
-            names.append(machine.name)
+        names = self._in_one_call(machines)
         key = f"x/{self._next()}"
         op = CloudOp(key, names, Op.AUTHORIZED)
         outcome, _ = await self._claims.claim([wire.put(ROOT + key, names)], key)
@@ -396,6 +393,18 @@
                 machine.move(Health.RETURNING)
         await self._send_return(op, now)
 
+    def _in_one_call(self, machines: list[Machine]) -> list[str]:
+        """The names of the first machines: as many as one call and its record may hold."""
+        limit = int(self._settings.cluster.state.value_kb * 1024 * VALUE_SHARE)
+        names: list[str] = []
+        size = 0
+        for machine in machines[: wire.RETURN_MOST]:
+            size += len(machine.name) + QUOTES_AND_COMMA
+            if size > limit:
+                break
+            names.append(machine.name)
+        return names
+
     async def _send_return(self, op: CloudOp, now: float) -> None:
         op.busy = True
         names: list[str] = op.value
--- a/petrelthread/rental/test_plan.py
+++ b/petrelthread/rental/test_plan.py
@@ -8,6 +8,8 @@
 
 import pytest
 
+from petrelthread import wire
+from petrelthread.fleet import Health
 from petrelthread.rental import Demand, Offer, Options, Owned, Refusals, Rent, in_turn, plan
 from petrelthread.store import Budget
 from tests.virtual import play
@@ -263,3 +265,24 @@
         assert all(m["driftwood"] for m in world.cloud.machines.values())
 
     play(main())
+
+
+def test_more_silent_machines_with_replicas_than_one_call_may_name_all_go_back() -> None:
+    """The cloud refuses a call of more than 100 names, and the same call was repeated for ever."""
+
+    async def scenario(world: World) -> None:
+        node = world.nodes[await world.led()]
+        now = asyncio.get_running_loop().time()
+        machines = [node.fleet.machine(f"host-{n:06d}", now) for n in range(130)]
+        keeper = node.provisioner
+        await keeper._return(machines, now)
+        returning = [m for m in machines if m.health is Health.GONE]
+        assert len(returning) == wire.RETURN_MOST
+        await keeper._return([m for m in machines if m.health is not Health.GONE], now)
+        assert all(m.health is Health.GONE for m in machines)
+
+    async def main() -> None:
+        world = World(1)
+        await scenario(world)
+
+    play(main())
--- /dev/null
+++ b/tests/test_claims_in_flight.py
@@ -0,0 +1,33 @@
+"""What happens between a claim and its answer: the watch, reports and the cloud do not wait."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from tests.test_faults import run
+from tests.world import World, job
+
+ANSWER_LATE_S = 0.05  # the watch shows a record well before its claim is answered
+
+
+def test_rounds_that_the_watch_shows_before_their_answer_are_sent() -> None:
+    """Each start on record is sent: the leader took its own rounds for late copies of settled ones,
+    and wrote them again."""
+    recorded = 0
+
+    async def scenario(world: World) -> None:
+        def fate(source: str, addr: str, method: str, target: str, body: Any) -> Any:
+            nonlocal recorded
+            for op in body["apply"] if target == "/multi" else ():
+                if "put" in op and op["put"].startswith("pt/r/"):
+                    recorded += sum(len(tasks) for _, _, jobs in op["v"] for _, tasks in jobs)
+            return 0.0, False
+
+        world.net.fate = fate
+        world.net.answer_delay = lambda target: ANSWER_LATE_S if target == "/multi" else 0.0
+        for n in range(4):
+            await world.submit(job(f"wk-{n:06d}", 3, crew="red" if n % 2 else "blue"))
+        await world.until_over(120.0)
+
+    world = run(scenario)
+    assert world.judge.starts == recorded == 12
--- a/tests/world.py
+++ b/tests/world.py
@@ -141,6 +141,8 @@
         self.fate: Fate | None = None
         self.deaf: set[str] = set()  # what they send arrives; no answer or command reaches them
         self.mute: set[str] = set()  # they reach nobody; what is sent to them arrives
+        # By target: how many seconds an answer takes on its way back.
+        self.answer_delay: Callable[[str], float] = lambda target: 0.0
         # Decides whether a request comes once more, and how many seconds later.
         self.copy: Callable[[str, str, str, str], float | None] = lambda *request: None
 
@@ -199,6 +201,8 @@
         if late is not None:
             self.world.background(self._again(late, source, addr, method, target, body))
         status, answer = await handler(source, method, target, body)
+        if delay_s := self.answer_delay(target):
+            await asyncio.sleep(delay_s)
         if fate[1] or source in self.deaf or frozenset((source, host)) in self.cut:
             await asyncio.sleep(1000.0)
         return Reply(status, orjson.dumps(answer))
