--- a/petrelthread/controller.py
+++ b/petrelthread/controller.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import random
+from collections import deque
 from typing import Any
 
 import msgspec
@@ -156,7 +157,7 @@
         self.pause_detector = PauseDetector(self._on_still)
         self.troubles = Troubles()
         self.admin = Admin(self, request)
-        self._reports: list[float] = []
+        self._reports: deque[float] = deque()
         self._silent_s = 2.5 * workers.report_s + 4.0
 
     def _cache_gb(self, kind: int) -> float:
@@ -308,7 +309,7 @@
     def _recent_reports(self, now: float) -> int:
         window = 2 * self.settings.cluster.workers.report_s
         while self._reports and now - self._reports[0] > window:
-            self._reports.pop(0)
+            self._reports.popleft()
         return len(self._reports)
 
     # ---- requests --------------------------------------------------------------------------------
--- a/petrelthread/emulator/soak.py
+++ b/petrelthread/emulator/soak.py
@@ -183,7 +183,9 @@
 def play_seeds(seeds: range, options: LoopbackOptions) -> int:
     """Play one seed after the other; 0 if no rule broke, 1 if one did, 130 if interrupted."""
     broken = 0
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    # Both, for a shell starts what runs in its background with SIGINT ignored.
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, signal.default_int_handler)
     try:
         for seed in seeds:
             result = asyncio.run(soak(seed, options))
--- a/petrelthread/fleet/dispatch.py
+++ b/petrelthread/fleet/dispatch.py
@@ -63,6 +63,8 @@
         async with self._room:
             if fleet.epoch != token or machine.epoch_heard == token:
                 return
+            clock = asyncio.get_running_loop().time
+            asked = clock()
             try:
                 shown = await self._request(machine.addr, "GET", wire.SHOW_PATH, timeout=ANSWER_S)
                 session = wire.parse_report(shown.body).flight
@@ -74,6 +76,10 @@
                 report = wire.parse_report(reply.body)
             except (NoAnswer, wire.BadRequest) as error:
                 log.debug("machine %s: not read: %s", machine.name, error)
+                # A time limit that struck late, or while we stood still, shows only that we were.
+                on_time = clock() - asked < 2 * ANSWER_S + ON_TIME_S and fleet.resumed_at < asked
+                if fleet.epoch == token and on_time and isinstance(error, NoAnswer):
+                    fleet.read(machine, answered=False)
                 return
         if reply.status == 200 and fleet.epoch == token:
             fleet.on_report(report, asyncio.get_running_loop().time(), answered=False)
--- a/petrelthread/fleet/machine.py
+++ b/petrelthread/fleet/machine.py
@@ -71,6 +71,7 @@
         "probes_lost",
         "probing",
         "read_asked_at",
+        "reads_lost",
         "rental_key",
         "rented_at",
         "retiring",
@@ -106,7 +107,8 @@
         self.epoch_heard = 0
         self.epoch_answered = 0  # in which a report of it was last answered
         self.read_asked_at = float("-inf")  # when the leader last tried to read it by itself
-        self.heard_at = now  # when it last did so
+        self.reads_lost = 0  # how often in a row it did not answer that
+        self.heard_at = now  # when it last showed that it is alive
         self.newest_at = now  # when its newest message came
         self.answered_at = 0.0  # last instant at which an answer of ours may have renewed its lease
         self.answering_since = now  # no long gap between answered reports since then
--- a/petrelthread/fleet/table.py
+++ b/petrelthread/fleet/table.py
@@ -14,7 +14,8 @@
 log = logging.getLogger(__name__)
 
 DRIFT = 1.002
-READ_AGAIN_S = 4.0
+READ_AGAIN_S = 2.5  # between two tries of a new leader to read a worker
+READS_MOST = 2  # unanswered in a row: with no report either, it is not waited for
 OVERDUE_S = 0.75  # that a report may take on its way
 PROBES_MOST = 2  # unanswered in a row: then its replicas are needed elsewhere
 BEFORE_RUNNING = ("", wire.FETCHING, wire.GATHERING)
@@ -103,6 +104,7 @@
                 continue
             machine.heard_at = machine.known_at = now
             machine.idle_since = now
+            machine.reads_lost = 0
             machine.sending = 0
             if machine.health is Health.BOOTING and machine.index in self.cluster_state.on_machine:
                 machine.move(Health.UP)  # it ran work, so it was up; now it has to be heard
@@ -170,6 +172,10 @@
         ]
         return sorted(out, key=lambda machine: machine.index not in self.cluster_state.on_machine)
 
+    def read(self, machine: Machine, answered: bool) -> None:
+        """A new leader has tried to read a worker that has not reported to it."""
+        machine.reads_lost = 0 if answered else machine.reads_lost + 1
+
     def serves(self, machine: Machine) -> bool:
         """Replicas of services are on it: each second that their loss goes unnoticed is lost."""
         return any(a.job.service and not a.ended for a in self.attempts(machine).values())
@@ -240,6 +246,7 @@
                 # renewed its lease, and nobody can any more.
                 machine.answered_at = machine.answering_since = now
             machine.epoch_heard = self.epoch
+            machine.reads_lost = 0
         if answered:
             machine.epoch_answered = self.epoch
         machine.newest_at = now
@@ -406,6 +413,11 @@
         # command can start this attempt again.
         self._over(attempt, f"ended: {leg.cause}")
 
+    def startable(self, job: Job) -> int:
+        """How many tasks may be started: pending, and not finished with only the record missing."""
+        finished = self.finished.get(job.index, ())
+        return job.pending - sum(job.states[task] == PENDING for task in finished)
+
     def suspect(self, job: Job) -> bool:
         """It fails on every machine: one task at a time is tried, and nothing waits for it."""
         return self.failures.trust(job.index) is Trust.SUSPECT
@@ -576,6 +588,8 @@
             up += 1
             if machine.heard_at < heard_after and self._fell_silent(machine, now, silent_s):
                 continue
+            if machine.reads_lost >= READS_MOST and self._unreadable(machine, now):
+                continue
             if machine.not_receiving:
                 not_receiving.append(machine)
         # If most seem deaf, it is rather our own voice that does not carry.
@@ -602,6 +616,25 @@
         machine.move(Health.SILENT)
         return True
 
+    def _unreadable(self, machine: Machine, now: float) -> bool:
+        """With work of before the election on it, and neither reporting nor answering since.
+
+        To wait for its report as long as for any other kept its tasks from starting elsewhere for
+        16 s. Its return is the evidence; until that is confirmed nothing starts.
+        """
+        if machine.epoch_heard == self.epoch or machine.index not in self.cluster_state.on_machine:
+            return False
+        log.info(
+            "machine %s is silent: no report and no answer to %d reads in the %.1f s since the"
+            " election of epoch %d",
+            machine.name,
+            machine.reads_lost,
+            now - self.elected_at,
+            self.epoch,
+        )
+        machine.move(Health.SILENT)
+        return True
+
     def _judge_fault(self, machine: Machine, now: float) -> None:
         if machine.fault:
             return
--- a/petrelthread/fleet/test_table.py
+++ b/petrelthread/fleet/test_table.py
@@ -248,3 +248,42 @@
     assert 0 not in list(job_found.pending_tasks())
     assert fleet.cluster_state.use.machine(machine.index).attempts == 1
     assert fleet.orders(machine, running, 101.0) == []
+
+
+def silent_after(fleet: Fleet, machine: Machine, at: float) -> bool:
+    fleet.tick_silence(at, silent_s=14.0)
+    return machine.health is Health.SILENT
+
+
+def test_a_machine_that_a_new_leader_can_neither_hear_nor_read_is_not_waited_for() -> None:
+    fleet = fleet_at(100.0)
+    machine, _ = started(fleet, (EPOCH - 1) << 20)
+    machine.move(Health.UP)
+    fleet.read(machine, answered=False)
+    assert not silent_after(fleet, machine, 103.0)  # one lost message proves little
+    # A report of before the election, held up until now, is no sign that it is alive.
+    fleet.on_report(report(7, EPOCH - 1), 104.0, answered=True)
+    fleet.read(machine, answered=False)
+    assert silent_after(fleet, machine, 105.0)
+
+
+def test_a_machine_that_was_heard_or_has_no_work_is_waited_for() -> None:
+    fleet = fleet_at(100.0)
+    machine, attempt = started(fleet, (EPOCH - 1) << 20)
+    machine.move(Health.UP)
+    for _ in range(3):
+        fleet.read(machine, answered=False)
+    fleet.cluster_state.release(attempt)
+    assert not silent_after(fleet, machine, 105.0)  # nothing waits for it
+    running = ((0, (EPOCH - 1) << 20, "running"),)
+    fleet.on_report(report(8, EPOCH, legs=running), 106.0, answered=True)
+    assert not silent_after(fleet, machine, 107.0)
+
+
+def test_a_finished_task_whose_end_is_not_on_record_is_not_started_again() -> None:
+    """It counted as pending: the last check before the claim left its start out, as an error."""
+    fleet = fleet_at(100.0)
+    found = fleet.cluster_state.jobs[0]
+    fleet.finished[found.index] = {1, 2}
+    assert found.pending == 4
+    assert fleet.startable(found) == 2
--- a/petrelthread/http/server.py
+++ b/petrelthread/http/server.py
@@ -6,12 +6,13 @@
 import logging
 import socket
 from collections.abc import Awaitable, Callable
+from functools import lru_cache
 from typing import Any, NamedTuple
 
 import h11
 import orjson
 
-from petrelthread.http.turn_gate import Kind, TurnGate
+from petrelthread.http.turn_gate import Kind, Turn, TurnGate
 from petrelthread.wire import CHECKIN_PATH, MAX_BODY
 
 log = logging.getLogger(__name__)
@@ -20,9 +21,11 @@
 BODY_S = 10.0
 LINE_MOST = 8 * 1024
 STALE_S = 15.0
-BACKLOG = 1024  # connections that may wait to be accepted
+BACKLOG = 8192  # connections that may wait to be accepted; the kernel may allow fewer
 ACCEPTED_AT_ONCE = 32  # in one turn of the event loop
 REPORT_BEGINS = f"POST {CHECKIN_PATH} ".encode()
+HEAD_MOST = 16 * 1024  # bytes of a request's head
+HEADS_KEPT = 512  # heads of responses, by status and length
 READ_AHEAD = 128 * 1024  # bytes of a connection that may wait to be parsed
 
 
@@ -43,6 +46,31 @@
     return answer(status, {"error": reason}, retry_after_s)
 
 
+def _new_connection() -> h11.Connection:
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_MOST)
+
+
+def _head(response: Response, close: bool) -> bytes:
+    """Status line and headers of a whole response."""
+    return _head_bytes(response.status, len(response.body), response.retry_after_s, close)
+
+
+@lru_cache(maxsize=HEADS_KEPT)
+def _head_bytes(status: int, length: int, retry_after_s: int | None, close: bool) -> bytes:
+    """Written by h11 once for each kind of response: to write each anew took a third of the time
+    that a worker's report costs in h11."""
+    headers = [("Content-Type", "application/json"), ("Content-Length", str(length))]
+    if retry_after_s is not None:
+        headers.append(("Retry-After", str(retry_after_s)))
+    if close:
+        headers.append(("Connection", "close"))
+    return _new_connection().send(h11.Response(status_code=status, headers=headers)) or b""
+
+
+BUSY_RETRY_S = 2
+BUSY = refusal(503, "too many requests wait here", BUSY_RETRY_S)
+
+
 class _TooLarge(Exception):
     pass
 
@@ -126,7 +154,7 @@
             oldest.transport.abort()
 
     async def _requests(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        conn = h11.Connection(h11.SERVER, max_incomplete_event_size=16 * 1024)
+        conn = _new_connection()
         loop = asyncio.get_running_loop()
         while True:
             try:
@@ -145,12 +173,12 @@
                     body = await self._body(conn, reader, writer)
             except h11.RemoteProtocolError as error:
                 if conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-                    self._send(conn, writer, refusal(400, f"bad HTTP: {error}"), close=True)
+                    self._refuse(writer, f"bad HTTP: {error}")
                     await writer.drain()
                 return
             except _TooLarge:
                 # 400 rather than 413: users retry every status that the protocol does not list.
-                self._send(conn, writer, refusal(400, "body over 64 KiB"), close=True)
+                self._refuse(writer, "body over 64 KiB")
                 await writer.drain()
                 return
             try:
@@ -160,11 +188,17 @@
             except Exception:
                 log.exception("request handler failed")
                 response = refusal(503, "internal trouble", 1)
-            self._send(conn, writer, response, close=self._open > self._kept)
+            # The request asked for the connection to be closed, or we do.
+            close = conn.their_state is not h11.DONE or self._open > self._kept
+            head_only = event.method == b"HEAD"
+            writer.write(_head(response, close) + (b"" if head_only else response.body))
             await writer.drain()
-            if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
+            if close:
                 return
-            conn.start_next_cycle()
+            unread, _ = conn.trailing_data
+            conn = _new_connection()
+            if unread:
+                conn.receive_data(unread)
 
     async def _next(
         self,
@@ -186,8 +220,13 @@
             if begins and data:
                 begins = False
                 self._waiting.pop(writer, None)  # not silent: it is we who take our time
-                held_back = await self._gate.turn(_kind_of(data))
-                if held_back and (reader.at_eof() or writer.is_closing()):
+                kind = _kind_of(data)
+                turn = await self._gate.turn(kind)
+                if turn is Turn.TURNED_AWAY:
+                    if kind is Kind.USER:
+                        writer.write(_head(BUSY, close=True) + BUSY.body)
+                    return h11.ConnectionClosed()
+                if turn is Turn.HELD_BACK and (reader.at_eof() or writer.is_closing()):
                     return h11.ConnectionClosed()  # nobody waits for the answer any more
             conn.receive_data(data)
 
@@ -209,18 +248,6 @@
                 raise h11.RemoteProtocolError("connection ended within a request")
 
     @staticmethod
-    def _send(
-        conn: h11.Connection, writer: asyncio.StreamWriter, response: Response, close: bool
-    ) -> None:
-        headers = [
-            ("Content-Type", "application/json"),
-            ("Content-Length", str(len(response.body))),
-        ]
-        if response.retry_after_s is not None:
-            headers.append(("Retry-After", str(response.retry_after_s)))
-        if close:
-            headers.append(("Connection", "close"))
-        head = conn.send(h11.Response(status_code=response.status, headers=headers)) or b""
-        data = conn.send(h11.Data(data=response.body)) or b""
-        end = conn.send(h11.EndOfMessage()) or b""
-        writer.write(head + data + end)
+    def _refuse(writer: asyncio.StreamWriter, reason: str) -> None:
+        response = refusal(400, reason)
+        writer.write(_head(response, close=True) + response.body)
--- a/petrelthread/http/turn_gate.py
+++ b/petrelthread/http/turn_gate.py
@@ -6,7 +6,9 @@
 the loop serves them for ``spell_s`` at most, what is left waits for the next.
 
 When there is more than can be served, what gives way is chosen: workers' reports go before users'
-requests, but of any four one is a user's, so that no kind stands still.
+requests, but of any four one is a user's, so that no kind stands still. What has waited so long
+that its sender is about to give up is not served any more: at the front of a queue that grows,
+every request would be answered a moment too late.
 """
 
 from __future__ import annotations
@@ -15,10 +17,12 @@
 from collections import deque
 from collections.abc import Callable
 from enum import Enum
+from typing import NamedTuple
 
 SPELL_S = 0.02  # of one turn of the event loop that requests may take
 FIRST_COST_S = 0.001  # of a request, until some have been measured
 COST_WEIGHT = 0.05  # of the newest spell in the mean cost of a request
+WAIT_MOST_S = 2.5  # then a request is turned away: workers give up after 4 s, users after 5 s
 USERS_EVERY = 4  # one of so many requests is a user's, if one waits
 
 
@@ -29,19 +33,33 @@
     USER = "user"
 
 
+class Turn(Enum):
+    """What becomes of a request at the gate."""
+
+    AT_ONCE = "served at once"
+    HELD_BACK = "served after it had to wait"
+    TURNED_AWAY = "not served: it has waited too long"
+
+
+class _Waiting(NamedTuple):
+    future: asyncio.Future[Turn]
+    since: float
+
+
 class TurnGate:
-    """One for each event loop. ``waiting`` is how many requests stand before the gate."""
+    """One for each event loop."""
 
     def __init__(self, clock: Callable[[], float] | None = None, spell_s: float = SPELL_S) -> None:
         """``clock``: seconds, for tests; the event loop's by default."""
         self._clock = clock
         self._spell_s = spell_s
-        self._queues: dict[Kind, deque[asyncio.Future[None]]] = {kind: deque() for kind in Kind}
+        self._queues: dict[Kind, deque[_Waiting]] = {kind: deque() for kind in Kind}
         self._begun_at: float | None = None  # of the spell under way
         self._served = 0  # in this spell
         self._turns = 0
         self._cost_s = FIRST_COST_S
-        self.held_back = 0  # requests that had to wait, in all
+        self.held_back = 0  # requests that had to wait, in all,
+        self.turned_away = 0  # and those that waited too long
 
     @property
     def waiting(self) -> int:
@@ -51,15 +69,15 @@
     def _now(self) -> float:
         return self._clock() if self._clock else asyncio.get_running_loop().time()
 
-    async def turn(self, kind: Kind) -> bool:
-        """Return once the request may be served; whether it had to wait for that."""
+    async def turn(self, kind: Kind) -> Turn:
+        """Return once it is known whether the request is served: at once unless the loop has much
+        to do, and after ``WAIT_MOST_S`` at the latest while the loop runs on time."""
         if not self.waiting and self._room_now():
-            return False
-        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._queues[kind].append(future)
+            return Turn.AT_ONCE
+        future: asyncio.Future[Turn] = asyncio.get_running_loop().create_future()
+        self._queues[kind].append(_Waiting(future, self._now()))
         self.held_back += 1
-        await future
-        return True
+        return await future
 
     def _room_now(self) -> bool:
         now = self._now()
@@ -84,6 +102,8 @@
         if not self.waiting:
             return
         self._begin(now)
+        for queue in self._queues.values():
+            self._turn_away(queue, now)
         most = max(1, int(self._spell_s / max(self._cost_s, 1e-6)))
         while self._served < most and self.waiting:
             self._release()
@@ -94,7 +114,14 @@
         if self._turns % USERS_EVERY == 0:
             first, second = second, first
         queue = self._queues[first] or self._queues[second]
-        future = queue.popleft()
+        future = queue.popleft().future
         if not future.done():  # the connection may have ended meanwhile
-            future.set_result(None)
+            future.set_result(Turn.HELD_BACK)
             self._served += 1
+
+    def _turn_away(self, queue: deque[_Waiting], now: float) -> None:
+        while queue and now - queue[0].since > WAIT_MOST_S:
+            future = queue.popleft().future
+            if not future.done():
+                future.set_result(Turn.TURNED_AWAY)
+                self.turned_away += 1
--- a/petrelthread/placement/scheduler.py
+++ b/petrelthread/placement/scheduler.py
@@ -148,9 +148,11 @@
             wanted.guaranteed[index] = inside
             if job.gang and job.live:
                 continue  # its other tasks are still there: they end, and all start anew together
-            if job.pending <= 0 or now < job.not_before:
+            if now < job.not_before:
                 continue
             request = self._view.request(job)
+            if request.pending <= 0:
+                continue
             if self._fleet.suspect(job) and not job.gang:
                 if not job.live:
                     wanted.in_turn.append(request._replace(pending=1))
@@ -208,7 +210,8 @@
         for job_index, machine_index in placed:
             job = self._cluster_state.jobs[job_index]
             if job_index not in tasks:
-                tasks[job_index] = job.pending_tasks()
+                finished = self._fleet.finished.get(job_index, set())
+                tasks[job_index] = (t for t in job.pending_tasks() if t not in finished)
             machine = self._fleet.machines[machine_index]
             starts.append(Start(job, next(tasks[job_index]), machine))
         return starts
--- a/petrelthread/placement/stops.py
+++ b/petrelthread/placement/stops.py
@@ -62,6 +62,7 @@
         )
         if for_replicas:
             return for_replicas
+        not_counted = {job: len(machines) for job, machines in placed.items()}
         victims: list[Victim] | None = None
         slots: dict[int, Slot] = {}
         for request in requests:
@@ -70,7 +71,7 @@
                 continue
             # A job that still gets room as it falls free does not need others to be stopped.
             waiting_s = time.time() - max(job.accepted_at, job.last_start_at)
-            lacking = self._lacking(request, placed, teams)
+            lacking = self._lacking(request, not_counted, teams)
             patience_s = self._patience.get(job.jobclass, PATIENCE_S)
             if (
                 lacking <= 0
@@ -114,9 +115,10 @@
         One service a round, waiting for each stop to end, took 15 s when a zone was lost.
         """
         needs = []
+        not_counted = {job: len(machines) for job, machines in placed.items()}
         for request in requests:
             job = self._cluster_state.jobs[request.job]
-            lacking = self._lacking(request, placed, teams) if job.service else 0
+            lacking = self._lacking(request, not_counted, teams) if job.service else 0
             if lacking <= 0 or request.single_zone or self._fleet.suspect(job):
                 continue
             teams[request.team].take(request, lacking)
@@ -136,12 +138,17 @@
         return out
 
     def _lacking(
-        self, request: PlacementRequest, placed: dict[int, list[int]], teams: list[QuotaHeadroom]
+        self, request: PlacementRequest, not_counted: dict[int, int], teams: list[QuotaHeadroom]
     ) -> int:
-        """How many tasks still want room that their team's limit leaves them."""
-        return min(
-            request.pending - len(placed.get(request.job, ())), teams[request.team].most(request)
-        )
+        """How many tasks still want room that their team's limit leaves them.
+
+        ``not_counted``: by job, tasks placed in this round that no earlier request of the job has
+        accounted for. An overdue job makes two requests, and each start counts for one of them.
+        """
+        got = min(request.pending, not_counted.get(request.job, 0))
+        if got:
+            not_counted[request.job] -= got
+        return min(request.pending - got, teams[request.team].most(request))
 
     def _attempts(self, victims: list[Victim], job: Job) -> list[Attempt]:
         """The attempts to stop for a job, with account of how often each task was stopped."""
--- a/petrelthread/placement/view.py
+++ b/petrelthread/placement/view.py
@@ -223,7 +223,7 @@
             job.index,
             job.team,
             job.tasks,
-            job.pending,
+            self._fleet.startable(job),
             job.cores,
             job.accelerators,
             job.ram_gb,
--- a/petrelthread/rental/cloud.py
+++ b/petrelthread/rental/cloud.py
@@ -82,6 +82,7 @@
         await self._call("POST", wire.RETURN_PATH, wire.return_request(names))
 
     async def list(self) -> list[wire.Listed]:
+        """All machines, page by page. CloudUnsure if the pages do not add up to a whole list."""
         found: list[wire.Listed] = []
         after = ""
         while True:
@@ -91,6 +92,10 @@
             reply = await self._call("GET", target)
             page = self._decode(reply.body, wire.HostList)
             found += page.perches
-            if not page.more or not page.perches:
+            if not page.more:
                 return found
-            after = page.perches[-1].name_id
+            last = page.perches[-1].name_id if page.perches else ""
+            if last <= after:
+                # Taken for a whole list, what it lacks would count as gone; read on, it never ends.
+                raise CloudUnsure(f"page after {after!r} goes no further, though more is to come")
+            after = last
--- a/petrelthread/rental/provisioner.py
+++ b/petrelthread/rental/provisioner.py
@@ -164,7 +164,7 @@
         if not self.machine_types or not self._leading():
             return
         # Replicas return elsewhere as soon as their machine's return is confirmed: that first.
-        await self._return([m for m in self._silent() if self._fleet.serves(m)], now)
+        await self._return_all([m for m in self._silent() if self._fleet.serves(m)], now)
         plan = self.plan_now(now)
         for machine in self._fleet.machines.values():
             machine.retiring = machine.index in plan.retiring
@@ -177,7 +177,7 @@
                 break
             now = asyncio.get_running_loop().time()
             rents = self.plan_now(now).rents
-        await self._return(self._to_return(plan, now), now)
+        await self._return_all(self._to_return(plan, now), now)
         if now - self._listed_at >= LIST_EVERY_S and self._leading():
             await self._read_list(asyncio.get_running_loop().time())
 
@@ -356,9 +356,17 @@
         silent = [m for m in machines if m.health is Health.SILENT]
         return [] if len(silent) >= 4 and len(silent) > up else silent
 
+    def _idle(self, machine: Machine | None) -> bool:
+        return (
+            machine is not None
+            and machine.health is Health.UP
+            and machine.index not in self._cluster_state.on_machine
+        )
+
     def _to_return(self, plan: Plan, now: float) -> list[Machine]:
         machines = self._fleet.machines
-        out = [machines[index] for index in plan.returns]
+        # Rentals were made since the plan: what got work meanwhile is not idle any more.
+        out = [machines[index] for index in plan.returns if self._idle(machines.get(index))]
         silent = self._silent()
         lag = self._settings.cluster.cloud.list_lag_s
         for machine in machines.values():
@@ -386,6 +394,15 @@
                 out.append(machine)
         return list({m.index: m for m in out}.values())
 
+    async def _return_all(self, machines: list[Machine], now: float) -> None:
+        """In as many calls as it takes, as long as this controller leads."""
+        while machines and self._leading():
+            await self._return(machines, now)
+            left = [m for m in machines if m.health not in (Health.GONE, Health.RETURNING)]
+            if len(left) == len(machines):
+                return  # the claim was not won: the next step judges anew
+            machines = left
+
     async def _return(self, machines: list[Machine], now: float) -> None:
         if not machines:
             return
--- /dev/null
+++ b/petrelthread/rental/test_cloud.py
@@ -0,0 +1,76 @@
+"""Lists of the cloud: whole, or refused. Half a list makes machines look gone."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import orjson
+import pytest
+
+from petrelthread.http import Reply
+from petrelthread.rental import CloudClient, CloudUnsure
+from petrelthread.store import Budget
+
+PAGE = 500
+
+
+def listed(number: int) -> dict[str, Any]:
+    return {
+        "name_id": f"host-{number:06d}",
+        "addr": "10.0.0.1:9",
+        "hull": "small",
+        "roost": "a",
+        "driftwood": True,
+        "status": "running",
+        "held_s": 1.0,
+    }
+
+
+class PagedCloud:
+    """Serves a list of so many machines, page by page; ``fault`` spoils one page."""
+
+    def __init__(self, machines: int, fault: str = "") -> None:
+        self.machines = [listed(n) for n in range(machines)]
+        self.fault = fault
+        self.calls = 0
+
+    async def request(
+        self, addr: str, method: str, target: str, body: Any = None, timeout: float = 2.0
+    ) -> Reply:
+        self.calls += 1
+        assert self.calls < 100, "the list is read for ever"
+        after = parse_qs(urlsplit(target).query).get("from", [""])[0]
+        if self.calls == 3 and self.fault == "changes":
+            self.machines = [m for m in self.machines if m["name_id"] > "host-000700"]
+        rest = [m for m in self.machines if m["name_id"] > after]
+        if self.calls >= 3 and self.fault == "empty page":
+            rest = []
+        if self.calls >= 3 and self.fault == "same page again":
+            rest = self.machines
+        more = len(rest) > PAGE or self.fault in ("empty page", "same page again")
+        return Reply(200, orjson.dumps({"perches": rest[:PAGE], "more": more}))
+
+    def client(self) -> CloudClient:
+        return CloudClient(self.request, "cloud:1", Budget(1e6, 1e6))
+
+
+@pytest.mark.parametrize(("machines", "calls"), [(0, 1), (499, 1), (501, 2), (4000, 8), (8000, 16)])
+def test_thousands_of_machines_come_in_pages(machines: int, calls: int) -> None:
+    cloud = PagedCloud(machines)
+    found = asyncio.run(cloud.client().list())
+    assert [entry.name_id for entry in found] == [m["name_id"] for m in cloud.machines]
+    assert cloud.calls == calls
+
+
+def test_a_list_that_changes_while_it_is_read_is_whole() -> None:
+    cloud = PagedCloud(1600, "changes")
+    found = asyncio.run(cloud.client().list())
+    assert {m["name_id"] for m in cloud.machines} <= {entry.name_id for entry in found}
+
+
+@pytest.mark.parametrize("fault", ["empty page", "same page again"])
+def test_half_a_list_is_no_list(fault: str) -> None:
+    with pytest.raises(CloudUnsure, match="goes no further"):
+        asyncio.run(PagedCloud(1600, fault).client().list())
--- a/petrelthread/store/watch_cache.py
+++ b/petrelthread/store/watch_cache.py
@@ -49,9 +49,13 @@
             first = page.epoch if first is None else first
             for pair in page.pairs:
                 found[pair.path[len(ROOT) :]] = (pair.v, pair.stamp)
-            if not page.more or not page.pairs:
+            if not page.more:
                 break
-            after = page.pairs[-1].path
+            last = page.pairs[-1].path if page.pairs else ""
+            if last <= (after or ""):
+                # A reading that lacks keys would make this controller forget what they hold.
+                raise StateUnsure(f"page after {after!r} goes no further, though more is to come")
+            after = last
         reached = self.revision  # by a watch, which told everything up to it
         for key, told in list(self.stamps.items()):
             if key not in found and told <= first:
