4,000 machines through the real path in tests; limits that are met show in status and log

Nothing said which limit binds, and no test held the path at 4,000 machines.

The gate counts requests turned away and connections refused; while that lasts (10 s) it is a trouble: one log line when it begins, one when it ends, and in status. tests/test_four_thousand.py: 4,000 starts go out in claims that keep every limit of the state service, a reload reads all pages. The stand-in state service pages as PROTOCOL does; it had cut a reading at the limit and said that this was all. A page of keys that goes no further is no reading.

--- a/petrelthread/admin/troubles.py
+++ b/petrelthread/admin/troubles.py
@@ -13,6 +13,7 @@
 log = logging.getLogger(__name__)
 
 SURE_S = 2.0  # it has lasted so long before it is told of, so that no flicker floods the log
+LIMIT_FELT_S = 10.0  # since a limit was last met
 STATE_S = 3.0  # without an answer of the state service
 
 
@@ -34,6 +35,16 @@
         out["leader"] = "there is no leader: nothing is started"
     if now - node.pause_detector.since < 10.0:
         out["still"] = f"this node stood still for {node.pause_detector.stood_s:.0f} s"
+    if now - node.gate.turned_away_at < LIMIT_FELT_S:
+        out["processor"] = (
+            "limit reached, processor: more requests come than this node can serve,"
+            f" {node.gate.turned_away} turned away so far"
+        )
+    if now - node.gate.refused_at < LIMIT_FELT_S:
+        out["sockets"] = (
+            "limit reached, sockets of the public address:"
+            f" {node.gate.refused} connections refused so far"
+        )
     if not election.leading:
         return out
     late = node.provisioner.late_boots(now)
--- a/petrelthread/benchmark/populated.py
+++ b/petrelthread/benchmark/populated.py
@@ -83,6 +83,7 @@
         self.controller = Controller(self.settings, nowhere, random.Random(seed))
         self._random = random.Random(seed)
         self._jobs = 0
+        self._stored: dict[int, list[Any]] = {}
         self._tasks_per_job = machines // RUNNING_JOBS
         self.state: ClusterState = self.controller.cluster_state
         now = asyncio.get_running_loop().time()
@@ -105,7 +106,13 @@
             size_gb=1.5,
         )
         value = Job.encode(wire.JobSpec(**spec), time.time())
-        return self.state.accept(str(spec["name_id"]), value)
+        job = self.state.accept(str(spec["name_id"]), value)
+        self._stored[job.index] = value
+        return job
+
+    def stored(self, job: Job) -> list[Any]:
+        """The job as the state service holds it."""
+        return self._stored[job.index]
 
     def _machine(self, number: int, now: float) -> wire.Report:
         fleet = self.controller.fleet
@@ -131,7 +138,7 @@
                 self.accept(self._tasks_per_job, self._random.randrange(IMAGES))
             job = self.state.jobs[-1]
             task = next(job.pending_tasks())
-            attempt = first_number(EPOCH) + 1 + number
+            attempt = first_number(EPOCH - 1) + 1 + number  # of an earlier leader: settled
             self.state.add_attempt(attempt, job, task, machine, 1)
             legs.append(wire.Leg(f"{job.id}/{task}", attempt, wire.RUNNING))
         return legs
--- a/petrelthread/benchmark/rounds.py
+++ b/petrelthread/benchmark/rounds.py
@@ -55,7 +55,7 @@
 def _stored(leader: PopulatedLeader) -> list[tuple[str, object]]:
     """The keys that hold what the leader knows: jobs and rounds."""
     state = leader.state
-    jobs = [(f"j/{job.id}", _encoded(leader, job.id)) for job in state.jobs]
+    jobs = [(f"j/{job.id}", leader.stored(job)) for job in state.jobs]
     entries = [
         (state.names.machines.name(machine), 1, attempt.job.id, attempt.task)
         for machine, there in state.on_machine.items()
@@ -66,30 +66,6 @@
     return [*jobs, *rounds]
 
 
-def _encoded(leader: PopulatedLeader, job_id: str) -> object:
-    job = leader.state.by_id[job_id]
-    names = leader.state.names
-    return [
-        names.teams.name(job.team),
-        names.classes.name(job.jobclass),
-        job.rank,
-        job.tasks,
-        job.cores,
-        job.accelerators,
-        job.ram_gb,
-        names.images.name(job.image),
-        job.size_gb,
-        None,
-        None,
-        4,
-        job.estimated_run_s,
-        job.checkpoint_interval_s,
-        job.grace_s,
-        job.due_s,
-        job.accepted_at,
-    ]
-
-
 def measure(machines: int) -> list[Timing]:
     """All kinds of work with so many machines."""
 
--- a/petrelthread/controller.py
+++ b/petrelthread/controller.py
@@ -16,7 +16,7 @@
 from petrelthread.admin.options import rental_options
 from petrelthread.admin.troubles import Troubles, now_wrong
 from petrelthread.fleet import Dispatch, Fleet, ZoneWatch
-from petrelthread.http import Response, answer
+from petrelthread.http import Response, TurnGate, answer
 from petrelthread.http.server import refusal
 from petrelthread.intake import Intake
 from petrelthread.leadership import ACTING, Election, Role
@@ -155,6 +155,7 @@
             self.write_quota.took,
         )
         self.pause_detector = PauseDetector(self._on_still)
+        self.gate = TurnGate()  # of requests to the public address
         self.troubles = Troubles()
         self.admin = Admin(self, request)
         self._reports: deque[float] = deque()
--- a/petrelthread/emulator/state_service.py
+++ b/petrelthread/emulator/state_service.py
@@ -8,6 +8,7 @@
 from urllib.parse import parse_qs, unquote, urlsplit
 
 Keys = dict[str, tuple[Any, int, int | None]]  # value, revision of the last change, lease
+ITEMS_MOST = 1000  # in one page
 
 
 class StateService:
@@ -80,8 +81,10 @@
                 {"path": key, "v": value, "stamp": stamp}
                 for key, (value, stamp, _) in sorted(self.keys.items())
                 if key.startswith(query["prefix"]) and key > query.get("from", "")
-            ][: int(query["limit"])]
-            return 200, {"pairs": found, "more": False, "epoch": self.revision}
+            ]
+            most = min(int(query["limit"]), ITEMS_MOST)
+            page = {"pairs": found[:most], "more": len(found) > most, "epoch": self.revision}
+            return 200, page
         if url.path == "/watch":
             return await self._watch(source, query)
         if url.path == "/multi":
--- a/petrelthread/http/__init__.py
+++ b/petrelthread/http/__init__.py
@@ -3,5 +3,16 @@
 from petrelthread.http.client import Client, NoAnswer, Reply
 from petrelthread.http.server import Response, Server, answer
 from petrelthread.http.sockets import Sockets, share_out
+from petrelthread.http.turn_gate import TurnGate
 
-__all__ = ["Client", "NoAnswer", "Reply", "Response", "Server", "Sockets", "answer", "share_out"]
+__all__ = [
+    "Client",
+    "NoAnswer",
+    "Reply",
+    "Response",
+    "Server",
+    "Sockets",
+    "TurnGate",
+    "answer",
+    "share_out",
+]
--- a/petrelthread/http/server.py
+++ b/petrelthread/http/server.py
@@ -136,6 +136,8 @@
                 self._make_room()
             if self._open <= self._room:
                 await self._requests(reader, writer)
+            else:
+                self._gate.note_refused()
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             pass
         except Exception:
--- a/petrelthread/http/turn_gate.py
+++ b/petrelthread/http/turn_gate.py
@@ -60,6 +60,9 @@
         self._cost_s = FIRST_COST_S
         self.held_back = 0  # requests that had to wait, in all,
         self.turned_away = 0  # and those that waited too long
+        self.turned_away_at = float("-inf")  # when that last happened, by the gate's clock
+        self.refused = 0  # connections for which there was no socket left
+        self.refused_at = float("-inf")
 
     @property
     def waiting(self) -> int:
@@ -79,6 +82,11 @@
         self.held_back += 1
         return await future
 
+    def note_refused(self) -> None:
+        """A connection was closed at once for want of sockets."""
+        self.refused += 1
+        self.refused_at = self._now()
+
     def _room_now(self) -> bool:
         now = self._now()
         if self._begun_at is None:
@@ -125,3 +133,4 @@
             if not future.done():
                 future.set_result(Turn.TURNED_AWAY)
                 self.turned_away += 1
+                self.turned_away_at = now
--- /dev/null
+++ b/tests/test_four_thousand.py
@@ -0,0 +1,90 @@
+"""4,000 machines through the real path: claims within one transaction, a reload page by page."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import orjson
+
+from petrelthread import wire
+from petrelthread.benchmark.populated import PopulatedLeader
+from petrelthread.emulator.state_service import StateService
+from petrelthread.http import Reply
+from petrelthread.ledger import ClusterState, Interners, first_number
+from petrelthread.store import ROOT, Budget, StateClient, WatchCache
+
+MACHINES = 4000
+BODY_MOST = 64 * 1024  # PROTOCOL: of one transaction
+ROUND_BUDGET_S = 10.0  # so that the number of rounds does not depend on this machine
+
+
+def test_more_starts_than_one_transaction_takes_go_out_in_several() -> None:
+    """2,000 free machines and 4,000 waiting tasks: each claim is within every limit."""
+
+    async def main() -> None:
+        leader = PopulatedLeader(MACHINES)
+        node, state = leader.controller, leader.settings.cluster.state
+        node.scheduler.budget_s = ROUND_BUDGET_S
+        job = leader.accept(MACHINES, 0)
+        now = asyncio.get_running_loop().time()
+        rounds = 0
+        while job.pending:
+            starts, stops = node.scheduler.decide(now)
+            claim = node.scheduler.builder.build(starts, stops, now)
+            assert claim.rounds and len(claim.ops) <= state.txn_ops
+            for op in claim.ops:
+                assert len(orjson.dumps(op.get("v"))) <= state.value_kb * 1024
+            conditions = [wire.when(key, 0) for key in claim.absent]
+            assert len(conditions) + 3 <= 4 * state.txn_ops
+            assert len(orjson.dumps(wire.multi(conditions, claim.ops))) <= BODY_MOST
+            node.scheduler._apply_claim(claim, now)
+            rounds += 1
+            assert claim.more is bool(job.pending)
+        assert 3 <= rounds <= 20
+        for machine in node.fleet.machines.values():
+            assert node.cluster_state.use.machine(machine.index).cores <= 4.0
+
+    asyncio.run(main())
+
+
+def test_a_reload_reads_all_pages_and_knows_what_the_leader_knew() -> None:
+    async def main() -> None:
+        leader = PopulatedLeader(MACHINES)
+        store = StateService(8, lambda key, value, keys: None)
+        pages = 0
+
+        async def request(
+            addr: str, method: str, target: str, body: Any = None, timeout: float = 2.0
+        ) -> Reply:
+            nonlocal pages
+            pages += target.startswith("/keys?")
+            status, answer = await store.handle("node", method, target, body)
+            return Reply(status, orjson.dumps(answer))
+
+        for number in range(MACHINES):  # a rental record a machine: several pages of keys
+            store.put(f"{ROOT}c/3-{number}", {"m": [f"host-{number:06d}"], "t": "small"})
+        running = {
+            (attempt.job.id, attempt.task, machine)
+            for machine, there in leader.state.on_machine.items()
+            for attempt in there.values()
+        }
+        for job in leader.state.jobs:
+            store.put(f"{ROOT}j/{job.id}", leader.stored(job))
+        for n, (job_id, task, machine) in enumerate(sorted(running)):
+            name = leader.state.names.machines.name(machine)
+            store.put(f"{ROOT}r/{first_number(3) + n + 1}", [[name, 1, [[job_id, [task]]]]])
+        known = ClusterState(Interners(["red"], ["a"]))
+        client = StateClient(request, "state:1", Budget(1e6, 1e6), Budget(1e6, 1e6))
+        await WatchCache(client, known.on_key, 0.1).load()
+        assert pages >= (MACHINES + len(running)) // 1000
+        assert len(known.rentals) == MACHINES
+        found = {
+            (a.job.id, a.task, known.names.machines.name(machine))
+            for machine, there in known.on_machine.items()
+            for a in there.values()
+        }
+        named = leader.state.names.machines.name
+        assert found == {(job_id, task, named(machine)) for job_id, task, machine in running}
+
+    asyncio.run(main())
--- a/tests/test_watch_cache.py
+++ b/tests/test_watch_cache.py
@@ -7,9 +7,10 @@
 from urllib.parse import parse_qs, urlsplit
 
 import orjson
+import pytest
 
 from petrelthread.http import Reply
-from petrelthread.store import Budget, StateClient, WatchCache
+from petrelthread.store import Budget, StateClient, StateUnsure, WatchCache
 from tests.virtual import play
 
 
@@ -45,3 +46,25 @@
         assert began + 0.1 < watch_cache.last_ok < began + 0.5  # not when the old pages came
 
     play(main())
+
+
+@pytest.mark.parametrize("fault", ["empty page", "same page again"])
+def test_half_a_reading_is_no_reading(fault: str) -> None:
+    """Taken for all there is, it would make the controller forget what the missing keys hold."""
+    told: list[str] = []
+
+    async def request(addr: str, method: str, target: str, body: Any, timeout: float) -> Reply:
+        query = parse_qs(urlsplit(target).query)
+        pairs: list[Any] = [{"path": f"pt/j/wk-{n}", "v": [], "stamp": n} for n in (1, 2)]
+        if "from" in query and fault == "empty page":
+            pairs = []
+        return Reply(200, orjson.dumps({"pairs": pairs, "more": True, "epoch": 9}))
+
+    async def main() -> None:
+        client = StateClient(request, "state:1", Budget(100.0, 100.0), Budget(100.0, 100.0))
+        watch_cache = WatchCache(client, lambda key, value, stamp: told.append(key), 0.1)
+        with pytest.raises(StateUnsure, match="goes no further"):
+            await watch_cache.load()
+        assert not told and not watch_cache.loaded.is_set()
+
+    play(main())
