Fleet's table in parts by duty; silence proves less while reports are turned away

Change. fleet/silence.py says which machines are silent, fleet/commands.py what workers are told; the table keeps what reports prove. No behaviour changed by that; for_report in two steps. While the gate has turned requests away lately, silence counts after a lease instead of 2.5 reports and 4 s.

--- a/petrelthread/controller.py
+++ b/petrelthread/controller.py
@@ -15,7 +15,7 @@
 from petrelthread.admin.api import PREFIX as ADMIN_PREFIX
 from petrelthread.admin.options import rental_options
 from petrelthread.admin.troubles import Troubles, now_wrong
-from petrelthread.fleet import Dispatch, Fleet, ZoneWatch
+from petrelthread.fleet import Commands, Dispatch, Fleet, SilenceWatch, ZoneWatch
 from petrelthread.http import Response, TurnGate, answer
 from petrelthread.http.server import refusal
 from petrelthread.intake import Intake
@@ -111,7 +111,9 @@
             lambda: self.provisioner.machine_types,
             estimates,
         )
-        self.dispatch = Dispatch(self.fleet, commands or request, commands_at_once)
+        self.silence = SilenceWatch(self.fleet)
+        self.commands = Commands(self.fleet)
+        self.dispatch = Dispatch(self.fleet, self.silence, commands or request, commands_at_once)
         self.dispatch.may_start = lambda: self.election.starting
         self.scheduler = Scheduler(
             settings,
@@ -362,12 +364,12 @@
                 home = None
             return answer(421, wire.go_to(home))
         if election.role is Role.TAKING_OVER:
-            return answer(200, wire.checkin_answer(election.epoch, self.fleet.halts(report)))
+            return answer(200, wire.checkin_answer(election.epoch, self.commands.halts(report)))
         machine = self.fleet.on_report(report, now, answered=True)
         if not election.leading:
-            orders = self.fleet.halts(report)
+            orders = self.commands.halts(report)
         elif machine is not None:
-            orders = self.fleet.orders(machine, report, now, election.starting)
+            orders = self.commands.for_report(machine, report, now, election.starting)
         else:
             orders = []
         return answer(200, wire.checkin_answer(election.epoch, orders))
@@ -403,7 +405,7 @@
             try:
                 if now - silence_at >= SILENCE_EVERY_S:
                     silence_at = now
-                    self.fleet.tick_silence(now, self._silent_s)
+                    self.silence.tick(now, self._silence_limit_s(now))
                     self.dispatch.probe(now)
                 if self.scheduler.numbers_left() < SERIALS_KEPT:
                     await self.election.resign("the numbers of this epoch are used up", 0.0)
@@ -413,6 +415,15 @@
                 log.exception("round failed")
             await asyncio.sleep(self.scheduler.gap_s)
 
+    def _silence_limit_s(self, now: float) -> float:
+        """How long a machine may be silent.
+
+        While reports are turned away for want of processor time their lack proves little: machines
+        that were well were returned by the hundred. What the lease proves holds all the same.
+        """
+        overloaded = now - self.gate.turned_away_at < self._silent_s
+        return max(self._silent_s, self.fleet.lease_s) if overloaded else self._silent_s
+
     async def _provisioning_loop(self) -> None:
         started = asyncio.get_running_loop().time()
         while True:
--- a/petrelthread/fleet/__init__.py
+++ b/petrelthread/fleet/__init__.py
@@ -1,8 +1,10 @@
-"""Machines and their workers: what each one last said, and what it must be told."""
+"""The machines: what is known of them, what they are told, and when they count as lost."""
 
+from petrelthread.fleet.commands import Commands
 from petrelthread.fleet.dispatch import Dispatch
 from petrelthread.fleet.machine import Health, Machine
+from petrelthread.fleet.silence import SilenceWatch
 from petrelthread.fleet.table import Fleet
 from petrelthread.fleet.zones import ZoneWatch
 
-__all__ = ["Dispatch", "Fleet", "Health", "Machine", "ZoneWatch"]
+__all__ = ["Commands", "Dispatch", "Fleet", "Health", "Machine", "SilenceWatch", "ZoneWatch"]
--- /dev/null
+++ b/petrelthread/fleet/commands.py
@@ -0,0 +1,103 @@
+"""What a worker is told with the answer to its report."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from petrelthread import wire
+from petrelthread.fleet.machine import Machine
+from petrelthread.fleet.table import Fleet
+from petrelthread.ledger import FINISHED, Attempt, Job, epoch_of
+
+
+class Commands:
+    """Compares what a report shows with what the cluster state wants on the machine."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+
+    def _unwanted(self, attempt: Attempt) -> bool:
+        return attempt.job.final is not None
+
+    def halts(self, report: wire.Report) -> list[dict[str, Any]]:
+        """Only what needs no right to command: a final state is durable and never changes."""
+        out: list[dict[str, Any]] = []
+        for leg in report.legs:
+            job_id, task = leg.task
+            job = self._fleet.cluster_state.by_id.get(job_id)
+            if leg.status != wire.ENDED and job is not None and job.final is not None:
+                out.append(wire.halt(job_id, task, leg.try_, 0))
+        return out
+
+    def for_report(
+        self, machine: Machine, report: wire.Report, now: float, starting: bool = True
+    ) -> list[dict[str, Any]]:
+        """What the worker has to be told, given the report just taken in.
+
+        ``starting``: it is known what was cancelled until a moment ago; else nothing is started.
+        """
+        out, listed = self._for_shown(machine, report)
+        if not machine.sending and starting:
+            out += self._starts(machine, report, listed, now)
+        return out
+
+    def _for_shown(
+        self, machine: Machine, report: wire.Report
+    ) -> tuple[list[dict[str, Any]], set[tuple[int, int]]]:
+        """Commands for what the report shows, and which of our attempts are among that."""
+        out: list[dict[str, Any]] = []
+        listed: set[tuple[int, int]] = set()
+        there = self._fleet.attempts(machine)
+        for leg in report.legs:
+            job_id, task = leg.task
+            job = self._fleet.cluster_state.by_id.get(job_id)
+            attempt = None if job is None else there.get((job.index, task))
+            ours = attempt is not None and attempt.number == leg.try_
+            if job is not None and ours:
+                listed.add((job.index, task))
+            if leg.status == wire.ENDED:
+                if self._may_forget(machine, job, task, leg, ours):
+                    out.append(wire.forget(job_id, task, leg.try_))
+            elif job is None:
+                continue  # never told to us: nothing is known that would justify a stop
+            elif not ours or attempt is None or self._unwanted(attempt):
+                out.append(wire.halt(job_id, task, leg.try_, 0))
+            elif attempt.halted_at:
+                out.append(wire.halt(job_id, task, leg.try_, attempt.job.grace_s))
+        return out, listed
+
+    def _starts(
+        self, machine: Machine, report: wire.Report, listed: set[tuple[int, int]], now: float
+    ) -> list[dict[str, Any]]:
+        """Starts of this epoch that the worker does not show yet."""
+        out: list[dict[str, Any]] = []
+        again = False
+        for key, attempt in list(self._fleet.attempts(machine).items()):
+            if key in listed or attempt.session != report.flight or attempt.ended:
+                continue
+            if epoch_of(attempt.number) != self._fleet.epoch:
+                continue
+            if self._unwanted(attempt) or attempt.halted_at:
+                if (*key, attempt.number) not in machine.uncertain_starts:
+                    self._fleet.supersede(attempt, "never shown, no longer wanted")
+                continue
+            out.append(wire.launch(attempt.job.id, attempt.task, attempt.number))
+            again = again or attempt.start_delivered
+            attempt.start_delivered = True
+        if again:
+            if not machine.ignored:
+                machine.ignored_since = now
+            machine.ignored += 1
+        return out
+
+    def _may_forget(
+        self, machine: Machine, job: Job | None, task: int, leg: wire.Leg, ours: bool
+    ) -> bool:
+        if job is None:
+            return False  # the cluster state may lag; a job that never was does not reach a worker
+        if (job.index, task, leg.try_) in machine.uncertain_starts:
+            return False  # a late direct command would start it again
+        if leg.cause == wire.CAUSE_DONE and not job.service:
+            # Forgotten only once it is durable.
+            return job.final is not None or job.states[task] == FINISHED
+        return not ours
--- a/petrelthread/fleet/dispatch.py
+++ b/petrelthread/fleet/dispatch.py
@@ -9,6 +9,7 @@
 
 from petrelthread import wire
 from petrelthread.fleet.machine import Machine
+from petrelthread.fleet.silence import SilenceWatch
 from petrelthread.fleet.table import Fleet
 from petrelthread.http import NoAnswer
 from petrelthread.ledger import Attempt, Op, move
@@ -24,8 +25,10 @@
 
 
 class Dispatch:
-    def __init__(self, fleet: Fleet, request: Request, at_once: int) -> None:
+    def __init__(self, fleet: Fleet, silence: SilenceWatch, request: Request, at_once: int) -> None:
+        """``at_once``: how many commands may be under way."""
         self._fleet = fleet
+        self._silence = silence
         self._request = request
         self._room = asyncio.Semaphore(at_once)
         self.may_start: Callable[[], bool] = lambda: True
@@ -54,7 +57,7 @@
         at once kept it from renewing the leader's lease; most of them report by themselves.
         """
         most = READ_AT_ONCE if late_s < ON_TIME_S else READ_WHEN_LATE
-        for machine in self._fleet.unread_machines(now)[:most]:
+        for machine in self._silence.unread_machines(now)[:most]:
             machine.read_asked_at = now
             asyncio.create_task(self._read_worker(machine, self._fleet.epoch))
 
@@ -79,14 +82,14 @@
                 # A time limit that struck late, or while we stood still, shows only that we were.
                 on_time = clock() - asked < 2 * ANSWER_S + ON_TIME_S and fleet.resumed_at < asked
                 if fleet.epoch == token and on_time and isinstance(error, NoAnswer):
-                    fleet.read(machine, answered=False)
+                    self._silence.read(machine, answered=False)
                 return
         if reply.status == 200 and fleet.epoch == token:
             fleet.on_report(report, asyncio.get_running_loop().time(), answered=False)
 
     def probe(self, now: float) -> None:
         """Ask machines with replicas that should have reported whether they are there."""
-        for machine in self._fleet.overdue(now):
+        for machine in self._silence.overdue(now):
             machine.probing = True
             asyncio.create_task(self._probe(machine, self._fleet.epoch))
 
@@ -100,7 +103,7 @@
         finally:
             machine.probing = False
         if self._fleet.epoch == token and machine.heard_at < asked:
-            self._fleet.probed(machine, answered, asyncio.get_running_loop().time())
+            self._silence.probed(machine, answered, asyncio.get_running_loop().time())
 
     async def _send(
         self, machine: Machine, starting: list[Attempt], stopping: list[Attempt], token: int
--- a/petrelthread/fleet/table.py
+++ b/petrelthread/fleet/table.py
@@ -4,7 +4,6 @@
 
 import logging
 from collections.abc import Callable, Collection
-from typing import Any
 
 from petrelthread import wire
 from petrelthread.fleet.failures import SUSPECT_ON, Failures, Trust
@@ -14,15 +13,10 @@
 log = logging.getLogger(__name__)
 
 DRIFT = 1.002
-READ_AGAIN_S = 2.5  # between two tries of a new leader to read a worker
-READS_MOST = 2  # unanswered in a row: with no report either, it is not waited for
-OVERDUE_S = 0.75  # that a report may take on its way
-PROBES_MOST = 2  # unanswered in a row: then its replicas are needed elsewhere
 BEFORE_RUNNING = ("", wire.FETCHING, wire.GATHERING)
 IGNORED_MOST = 3  # reports in a row without what they were told to start: it hears nothing
 SHOWN_ON = 8  # machines named in the record of a job that fails everywhere
 REPLICA_PROVES_S = 8.0  # a replica never completes: one that has run so long shows that it can
-FIND_LEADER_S = 4.0  # that a worker may take longer whose controller is gone
 JOB_BACKOFF_S = 5.0
 JOB_BACKOFF_MOST_S = 60.0
 
@@ -132,11 +126,12 @@
         """The machine's tasks are surely gone."""
         gone = list(self.attempts(machine).values())
         for attempt in gone:
-            self._over(attempt, why)
+            self.supersede(attempt, why)
         machine.uncertain_starts.clear()
         return len(gone)
 
-    def _over(self, attempt: Attempt, why: str) -> None:
+    def supersede(self, attempt: Attempt, why: str) -> None:
+        """The attempt is surely over; its task may start elsewhere."""
         log.info(
             "operation superseded: start of %s/%d attempt %d: %s",
             attempt.job.id,
@@ -159,57 +154,10 @@
             job.progress[attempt.task] = job.progress.get(attempt.task, 0.0) + kept_s
         attempt.running_at = 0.0  # counted
 
-    def unread_machines(self, now: float) -> list[Machine]:
-        """What may be up, and has not heard this leader: those with work first."""
-        out = [
-            machine
-            for machine in self.machines.values()
-            if machine.addr
-            and machine.epoch_heard != self.epoch
-            and machine.health not in (Health.GONE, Health.RETURNING)
-            and now - machine.read_asked_at > READ_AGAIN_S
-            and not machine.rental_key.startswith(f"c/{self.epoch}-")
-        ]
-        return sorted(out, key=lambda machine: machine.index not in self.cluster_state.on_machine)
-
-    def read(self, machine: Machine, answered: bool) -> None:
-        """A new leader has tried to read a worker that has not reported to it."""
-        machine.reads_lost = 0 if answered else machine.reads_lost + 1
-
     def serves(self, machine: Machine) -> bool:
         """Replicas of services are on it: each second that their loss goes unnoticed is lost."""
         return any(a.job.service and not a.ended for a in self.attempts(machine).values())
 
-    def overdue(self, now: float) -> list[Machine]:
-        """Machines with replicas whose report should have come: to be asked directly."""
-        late = self._late(now)
-        return [
-            machine
-            for machine in late
-            if machine.addr and not machine.probing and self.serves(machine)
-        ]
-
-    def _late(self, now: float) -> list[Machine]:
-        """Whose report should have come. None if that holds for most: then it is rather we who do
-        not hear. A leader that no worker reached gave back every machine with replicas, though they
-        were well and its sibling heard them."""
-        latest_s = 1.25 * self.report_s + OVERDUE_S
-        up = [m for m in self.machines.values() if m.health is Health.UP]
-        late = [m for m in up if now - max(m.heard_at, self.resumed_at) > latest_s]
-        if len(late) > max(2, len(up) / 2):
-            return []
-        return [m for m in late if m.epoch_answered == self.epoch]
-
-    def probed(self, machine: Machine, answered: bool, now: float) -> None:
-        """Not silent for long yet, but neither does it answer."""
-        if machine not in self._late(now):
-            return
-        machine.probes_lost = 0 if answered else machine.probes_lost + 1
-        if machine.probes_lost >= PROBES_MOST and machine.health is Health.UP:
-            log.info("machine %s is silent and does not answer", machine.name)
-            machine.move(Health.SILENT)
-            self.on_lost()
-
     # ---- reports ---------------------------------------------------------------------------
 
     def on_report(self, report: wire.Report, now: float, answered: bool) -> Machine | None:
@@ -282,7 +230,7 @@
             log.info("machine %s: its lease ended though we answer it", machine.name)
         for attempt in list(self.attempts(machine).values()):
             if attempt.session < session:
-                self._over(attempt, f"{machine.name} began session {session}")
+                self.supersede(attempt, f"{machine.name} began session {session}")
         machine.uncertain_starts.clear()
         machine.forget_images()
 
@@ -338,7 +286,7 @@
         for key, attempt in list(self.attempts(machine).items()):
             if key in shown or attempt.session != report.flight:
                 if attempt.session < report.flight:
-                    self._over(attempt, f"{machine.name} is in session {report.flight}")
+                    self.supersede(attempt, f"{machine.name} is in session {report.flight}")
                 continue
             self._not_shown(machine, report, attempt, now)
         if self.attempts(machine):
@@ -411,7 +359,7 @@
             self._keep_progress(attempt, stopped=True)
         # Ended without being done: over, and it stays listed until forgotten, so that no late
         # command can start this attempt again.
-        self._over(attempt, f"ended: {leg.cause}")
+        self.supersede(attempt, f"ended: {leg.cause}")
 
     def startable(self, job: Job) -> int:
         """How many tasks may be started: pending, and not finished with only the record missing."""
@@ -489,166 +437,10 @@
             return  # a direct command may be on its way; resent or settled later
         if attempt.state is Op.CONFIRMED:
             if not attempt.ended:
-                self._over(attempt, f"{machine.name} no longer lists it")
+                self.supersede(attempt, f"{machine.name} no longer lists it")
             return
         if epoch_of(attempt.number) == self.epoch:
             return  # ours, lost on the way: orders() sends it again
         if machine.seen_token >= self.epoch:
             # No older leader's command can start it any more.
-            self._over(attempt, f"{machine.name} does not list it and knows epoch {self.epoch}")
-
-    # ---- orders ----------------------------------------------------------------------------
-
-    def unwanted(self, attempt: Attempt) -> bool:
-        return attempt.job.final is not None
-
-    def halts(self, report: wire.Report) -> list[dict[str, Any]]:
-        """Only what needs no right to command: a final state is durable and never changes."""
-        out: list[dict[str, Any]] = []
-        for leg in report.legs:
-            job_id, task = leg.task
-            job = self.cluster_state.by_id.get(job_id)
-            if leg.status != wire.ENDED and job is not None and job.final is not None:
-                out.append(wire.halt(job_id, task, leg.try_, 0))
-        return out
-
-    def orders(
-        self, machine: Machine, report: wire.Report, now: float, starting: bool = True
-    ) -> list[dict[str, Any]]:
-        """What the worker has to be told, given the report just taken in.
-
-        ``starting``: it is known what was cancelled until a moment ago; else nothing is started.
-        """
-        out: list[dict[str, Any]] = []
-        there = self.attempts(machine)
-        listed: set[tuple[int, int]] = set()
-        cluster_state = self.cluster_state
-        for leg in report.legs:
-            job_id, task = leg.task
-            job = cluster_state.by_id.get(job_id)
-            attempt = None if job is None else there.get((job.index, task))
-            ours = attempt is not None and attempt.number == leg.try_
-            if job is not None and ours:
-                listed.add((job.index, task))
-            if leg.status == wire.ENDED:
-                if self._may_forget(machine, job, task, leg, ours):
-                    out.append(wire.forget(job_id, task, leg.try_))
-            elif job is None:
-                continue  # never told to us: nothing is known that would justify a stop
-            elif not ours or attempt is None or self.unwanted(attempt):
-                out.append(wire.halt(job_id, task, leg.try_, 0))
-            elif attempt.halted_at:
-                out.append(wire.halt(job_id, task, leg.try_, attempt.job.grace_s))
-        if machine.sending or not starting:
-            return out
-        again = False
-        for key, attempt in list(there.items()):
-            if key in listed or attempt.session != report.flight or attempt.ended:
-                continue
-            if epoch_of(attempt.number) != self.epoch:
-                continue
-            if self.unwanted(attempt) or attempt.halted_at:
-                if (*key, attempt.number) not in machine.uncertain_starts:
-                    self._over(attempt, "never shown, no longer wanted")
-                continue
-            out.append(wire.launch(attempt.job.id, attempt.task, attempt.number))
-            again = again or attempt.start_delivered
-            attempt.start_delivered = True
-        if again:
-            if not machine.ignored:
-                machine.ignored_since = now
-            machine.ignored += 1
-        return out
-
-    def _may_forget(
-        self, machine: Machine, job: Job | None, task: int, leg: wire.Leg, ours: bool
-    ) -> bool:
-        if job is None:
-            return False  # the cluster state may lag; a job that never was does not reach a worker
-        if (job.index, task, leg.try_) in machine.uncertain_starts:
-            return False  # a late direct command would start it again
-        if leg.cause == wire.CAUSE_DONE and not job.service:
-            # Forgotten only once it is durable.
-            return job.final is not None or job.states[task] == FINISHED
-        return not ours
-
-    # ---- time ------------------------------------------------------------------------------
-
-    def tick_silence(self, now: float, silent_s: float) -> None:
-        """Notice machines that have been silent for too long, and leases that have run out."""
-        for job in self.failures.unproven():
-            if self.cluster_state.jobs[job].final is not None:
-                self.failures.over(job)
-        heard_after = now - silent_s
-        not_receiving: list[Machine] = []
-        up = 0
-        for machine in list(self.machines.values()):
-            if machine.health is not Health.UP and machine.health is not Health.DRAINING:
-                continue
-            up += 1
-            if machine.heard_at < heard_after and self._fell_silent(machine, now, silent_s):
-                continue
-            if machine.reads_lost >= READS_MOST and self._unreadable(machine, now):
-                continue
-            if machine.not_receiving:
-                not_receiving.append(machine)
-        # If most seem deaf, it is rather our own voice that does not carry.
-        if 2 * len(not_receiving) <= max(2, up):
-            for machine in not_receiving:
-                self._judge_fault(machine, now)
-        self._end_leases(now)
-
-    def _fell_silent(self, machine: Machine, now: float, silent_s: float) -> bool:
-        grace = silent_s
-        if machine.epoch_answered != self.epoch:
-            grace += FIND_LEADER_S
-        # Nothing was heard while we stood still: once, every machine was silent at once.
-        if now - max(machine.heard_at, self.resumed_at) <= grace:
-            return False
-        log.info(
-            "machine %s is silent: not heard for %.1f s (limit %.1f s); %s in epoch %d",
-            machine.name,
-            now - machine.heard_at,
-            grace,
-            "answered" if machine.epoch_answered == self.epoch else "never answered",
-            self.epoch,
-        )
-        machine.move(Health.SILENT)
-        return True
-
-    def _unreadable(self, machine: Machine, now: float) -> bool:
-        """With work of before the election on it, and neither reporting nor answering since.
-
-        To wait for its report as long as for any other kept its tasks from starting elsewhere for
-        16 s. Its return is the evidence; until that is confirmed nothing starts.
-        """
-        if machine.epoch_heard == self.epoch or machine.index not in self.cluster_state.on_machine:
-            return False
-        log.info(
-            "machine %s is silent: no report and no answer to %d reads in the %.1f s since the"
-            " election of epoch %d",
-            machine.name,
-            machine.reads_lost,
-            now - self.elected_at,
-            self.epoch,
-        )
-        machine.move(Health.SILENT)
-        return True
-
-    def _judge_fault(self, machine: Machine, now: float) -> None:
-        if machine.fault:
-            return
-        ignored_s = now - machine.ignored_since if machine.ignored else 0.0
-        if machine.lease_losses > 1 or ignored_s > self.lease_s / 2:
-            machine.fault = machine.not_receiving
-
-    def _end_leases(self, now: float) -> None:
-        """Tasks on machines whose lease has surely run out are gone."""
-        for index in list(self.cluster_state.on_machine):
-            machine = self.machines.get(index)
-            # A lease lasts longer than ``lease_s`` from its newest renewal: looked at first, since
-            # it holds for nearly all.
-            if machine is None or now - machine.answered_at < self.lease_s:
-                continue
-            if now > self.gone_at(machine):
-                self.lost(machine, f"lease of {machine.name} has run out")
+            self.supersede(attempt, f"{machine.name} does not list it and knows epoch {self.epoch}")
--- a/petrelthread/fleet/test_dispatch.py
+++ b/petrelthread/fleet/test_dispatch.py
@@ -8,7 +8,7 @@
 import pytest
 
 from petrelthread import wire
-from petrelthread.fleet import Dispatch, Fleet, Machine
+from petrelthread.fleet import Commands, Dispatch, Fleet, Machine, SilenceWatch
 from petrelthread.fleet.dispatch import READ_AT_ONCE, READ_WHEN_LATE
 from petrelthread.http import NoAnswer, Reply
 from petrelthread.ledger import Attempt, ClusterState, Interners, Job, Op
@@ -27,7 +27,7 @@
         self.fleet = Fleet(cluster_state, 10.0, 1.0, 20.0)
         self.fleet.take_over(EPOCH, asyncio.get_running_loop().time())
         self.asked: list[str] = []
-        self.dispatch = Dispatch(self.fleet, self.request, 1)
+        self.dispatch = Dispatch(self.fleet, SilenceWatch(self.fleet), self.request, 1)
         self.hearing, self.silent = self.machine("host-1"), self.machine("host-2")
         self.task = 0
 
@@ -71,7 +71,7 @@
         now = asyncio.get_running_loop().time()
         machine = ground.fleet.on_report(report, now, answered=True)
         assert machine is not None
-        told = {order["leg"] for order in ground.fleet.orders(machine, report, now)}
+        told = {order["leg"] for order in Commands(ground.fleet).for_report(machine, report, now)}
         assert told >= {f"wk-000001/{attempt.task}" for attempt in lost}
         ground.start(ground.silent)  # it has been heard since: worth another try
         await asyncio.sleep(0.1)
@@ -91,7 +91,7 @@
         report = wire.Report("host-1", 1, 1, "host-1", "small", "a", True, EPOCH)
         now = asyncio.get_running_loop().time()
         ground.fleet.on_report(report, now, answered=True)
-        orders = ground.fleet.orders(ground.hearing, report, now)
+        orders = Commands(ground.fleet).for_report(ground.hearing, report, now)
         assert [order["leg"] for order in orders] == [f"wk-000001/{attempt.task}"]
         await asyncio.sleep(5.0)
         assert ground.asked == ["host-2"]
@@ -115,7 +115,7 @@
         fleet.take_over(3, 0.0)
         for number in range(4000):
             fleet.machine(f"host-{number:06d}", 0.0).addr = f"host-{number}:9"
-        dispatch = Dispatch(fleet, request, 4000)
+        dispatch = Dispatch(fleet, SilenceWatch(fleet), request, 4000)
         now, calls = 0.0, 0
         while len(set(asked)) < 4000:
             before = len(asked)
--- a/petrelthread/fleet/test_table.py
+++ b/petrelthread/fleet/test_table.py
@@ -7,7 +7,7 @@
 import pytest
 
 from petrelthread import wire
-from petrelthread.fleet import Fleet, Health, Machine
+from petrelthread.fleet import Commands, Fleet, Health, Machine, SilenceWatch
 from petrelthread.ledger import Attempt, ClusterState, Interners, Job, Op
 from tests.world import job
 
@@ -45,7 +45,7 @@
     machine, attempt = started(fleet, (EPOCH - 1) << 20)
     fleet.on_report(report(7, EPOCH - 1), at, answered=True)
     assert fleet.gone_at(machine) >= 100.0 + HOLD_OVER_S + LEASE_S
-    fleet.tick_silence(at + LEASE_S + 1.0, 5.0)
+    SilenceWatch(fleet).tick(at + LEASE_S + 1.0, 5.0)
     assert attempt.state is not Op.SUPERSEDED
     assert not fleet.may_serve(machine)
     # Once it shows our token, nobody older can renew it.
@@ -67,7 +67,7 @@
         assert fleet.on_report(report(9, EPOCH, session=0), at, answered=True) is None
     assert attempt.state is Op.CONFIRMED
     assert (machine.heard_at, fleet.gone_at(machine)) == (103.0, before)
-    fleet.tick_silence(112.0, 5.0)
+    SilenceWatch(fleet).tick(112.0, 5.0)
     assert machine.health is Health.SILENT
 
 
@@ -87,7 +87,7 @@
         fleet.on_report(report(tick, EPOCH - 1), 100.0 + 3.0 * tick, answered=True)
     machine = fleet.machine("host-000001", 112.0)
     assert not fleet.may_serve(machine)
-    fleet.tick_silence(118.0, 5.0)
+    SilenceWatch(fleet).tick(118.0, 5.0)
     assert machine.health is Health.SILENT  # and so it goes back, whatever copies still come
 
 
@@ -116,7 +116,7 @@
     stopped = report(1, EPOCH)
     stopped.legs.append(wire.Leg("wk-000001/0", attempt.number, "ended", "stopped"))
     fleet.on_report(stopped, 101.0, answered=True)
-    assert not fleet.orders(machine, stopped, 101.0)
+    assert not Commands(fleet).for_report(machine, stopped, 101.0)
     later = report(2, EPOCH, session=2)  # a new session: the late command does not match any more
     fleet.on_report(later, 102.0, answered=True)
     assert not machine.uncertain_starts
@@ -130,7 +130,7 @@
         now = 100.0 + tick
         same = report(tick, EPOCH)
         fleet.on_report(same, now, answered=True)
-        fleet.orders(machine, same, now)
+        Commands(fleet).for_report(machine, same, now)
     assert not fleet.may_serve(machine)
     assert attempt.state is not Op.SUPERSEDED  # a late command may still start it
     shown = report(9, EPOCH, legs=((0, attempt.number, "running"),))
@@ -153,13 +153,13 @@
     keep_answering(fleet, 1, 100.0, 112.0)
     machine = keep_answering(fleet, 2, 112.0, 113.0)
     assert not fleet.may_serve(machine)
-    fleet.tick_silence(113.0, 5.0)
+    SilenceWatch(fleet).tick(113.0, 5.0)
     assert not machine.fault  # once may be an accident: it is used again if that was all
     keep_answering(fleet, 2, 113.0, 130.0)
     assert fleet.may_serve(machine)
     keep_answering(fleet, 3, 130.0, 141.0)
     keep_answering(fleet, 4, 141.0, 142.0)
-    fleet.tick_silence(142.0, 5.0)
+    SilenceWatch(fleet).tick(142.0, 5.0)
     assert machine.fault  # twice in a row: back to the cloud
 
 
@@ -169,7 +169,7 @@
         machine = fleet.machine(f"host-{n}", 100.0)
         machine.move(Health.UP)
         machine.heard_at, machine.lease_losses, machine.not_receiving = 110.0, 2, "its lease ended"
-    fleet.tick_silence(111.0, 5.0)
+    SilenceWatch(fleet).tick(111.0, 5.0)
     assert not any(machine.fault for machine in fleet.machines.values())
 
 
@@ -216,9 +216,9 @@
     assert fleet.gone_at(machine) == pytest.approx(101.0 + LEASE_S, abs=1.0)
     assert fleet.gone_at(machine) > 101.0 + LEASE_S
     assert attempt.state is Op.SUPERSEDED  # it does not list it and refuses older tokens
-    fleet.tick_silence(108.0, 5.0)
+    SilenceWatch(fleet).tick(108.0, 5.0)
     assert machine.health.value == "up"  # it may be looking for us still
-    fleet.tick_silence(110.5, 5.0)
+    SilenceWatch(fleet).tick(110.5, 5.0)
     assert machine.health.value == "silent"
     # The end of a lease that no answer of ours could have renewed is no sign of deafness.
     fleet.on_report(report(1, EPOCH, session=2), 112.5, answered=True)
@@ -247,11 +247,11 @@
     assert job_found.live[0].machine == machine.index
     assert 0 not in list(job_found.pending_tasks())
     assert fleet.cluster_state.use.machine(machine.index).attempts == 1
-    assert fleet.orders(machine, running, 101.0) == []
+    assert Commands(fleet).for_report(machine, running, 101.0) == []
 
 
 def silent_after(fleet: Fleet, machine: Machine, at: float) -> bool:
-    fleet.tick_silence(at, silent_s=14.0)
+    SilenceWatch(fleet).tick(at, silent_s=14.0)
     return machine.health is Health.SILENT
 
 
@@ -259,11 +259,11 @@
     fleet = fleet_at(100.0)
     machine, _ = started(fleet, (EPOCH - 1) << 20)
     machine.move(Health.UP)
-    fleet.read(machine, answered=False)
+    SilenceWatch(fleet).read(machine, answered=False)
     assert not silent_after(fleet, machine, 103.0)  # one lost message proves little
     # A report of before the election, held up until now, is no sign that it is alive.
     fleet.on_report(report(7, EPOCH - 1), 104.0, answered=True)
-    fleet.read(machine, answered=False)
+    SilenceWatch(fleet).read(machine, answered=False)
     assert silent_after(fleet, machine, 105.0)
 
 
@@ -272,7 +272,7 @@
     machine, attempt = started(fleet, (EPOCH - 1) << 20)
     machine.move(Health.UP)
     for _ in range(3):
-        fleet.read(machine, answered=False)
+        SilenceWatch(fleet).read(machine, answered=False)
     fleet.cluster_state.release(attempt)
     assert not silent_after(fleet, machine, 105.0)  # nothing waits for it
     running = ((0, (EPOCH - 1) << 20, "running"),)
--- a/tests/test_take_over.py
+++ b/tests/test_take_over.py
@@ -7,6 +7,7 @@
 import pytest
 
 from tests.test_faults import run
+from tests.virtual import play
 from tests.world import World, job
 
 RESTARTED_S = 8.0  # from the election to the first start of what was on a dead machine
@@ -63,3 +64,16 @@
 
     world = run(scenario, seed)
     assert world.judge.starts == 6
+
+
+def test_silence_proves_less_while_reports_are_turned_away() -> None:
+    async def main() -> None:
+        world = World(1)
+        node = world.nodes[await world.led()]
+        usual = node._silence_limit_s(now())
+        assert usual < world.workers.lease_s
+        node.gate.turned_away_at = now()
+        assert node._silence_limit_s(now()) == world.workers.lease_s
+        assert node._silence_limit_s(now() + usual + 1.0) == usual
+
+    play(main())
