--- a/petrelthread/emulator/cloud.py
+++ b/petrelthread/emulator/cloud.py
@@ -53,6 +53,8 @@
             ]
             most = self.world.made_of.pages
             return 200, {"perches": shown[:most], "more": len(shown) > most}
+        if path != "/hosts":
+            return 404, {"error": "no such path"}  # meant for a machine that had this port before
         if not 0 < body["count"] <= RENT_MOST:
             return 400, {"error": f"count must be 1 to {RENT_MOST}"}
         charter = body["charter"]
