why in steps of its own module; the log of starts beside the scheduler

Change. admin/why.py: one function for each cause, in the order in which they are looked at; placement/start_log.py. No behaviour changed.

--- a/petrelthread/admin/views.py
+++ b/petrelthread/admin/views.py
@@ -7,9 +7,9 @@
 
 from petrelthread import wire
 from petrelthread.admin.troubles import STATE_S, now_wrong
+from petrelthread.admin.why import serving, why
 from petrelthread.fleet import Health
-from petrelthread.ledger import Attempt, Job, Op
-from petrelthread.placement.place import zone_room
+from petrelthread.ledger import Job, Op
 
 if TYPE_CHECKING:
     from petrelthread.controller import Controller
@@ -37,7 +37,7 @@
         entry["running"] += len(job.live)
         if job.service:
             entry["replicas"] = entry.get("replicas", 0) + job.tasks
-            entry["serving"] = entry.get("serving", 0) + _serving(node, job)
+            entry["serving"] = entry.get("serving", 0) + serving(node, job)
     return {
         "node": node.settings.host_name,
         "role": election.role.value,
@@ -65,19 +65,6 @@
     }
 
 
-def _lost(node: Controller, attempt: Attempt) -> bool:
-    """Its machine is silent or on its way back: it may still run there."""
-    machine = node.fleet.machines.get(attempt.machine)
-    return machine is not None and machine.health in (Health.SILENT, Health.RETURNING)
-
-
-def _serving(node: Controller, job: Job) -> int:
-    return sum(
-        a.status == wire.RUNNING and a.state is Op.CONFIRMED and not _lost(node, a)
-        for a in job.live.values()
-    )
-
-
 def _machines(node: Controller) -> dict[str, int]:
     out: dict[str, int] = {}
     for machine in node.fleet.machines.values():
@@ -142,93 +129,6 @@
     return out
 
 
-def why(node: Controller, job: Job, now: float) -> str:
-    """Why the job waits, in one plain sentence with the numbers behind it."""
-    cluster_state = node.cluster_state
-    if job.final is not None:
-        return f"It is over: {job.final}."
-    if now - node.watch_cache.last_ok > STATE_S:
-        return "The state service does not answer, and nothing is started without it."
-    if node.election.leader is None:
-        since_s = node.troubles.since("leader", now)
-        return f"There is no leader since {since_s:.0f} s, and nothing is started without one."
-    live = list(job.live.values())
-    unknown = [a for a in live if a.state is Op.UNKNOWN or (job.service and _lost(node, a))]
-    running = [a for a in live if a.running_at and not a.ended]
-    done = f"{job.done} of {job.tasks} tasks done, {len(running)} running"
-    if job.service:
-        done = f"{_serving(node, job)} of {job.tasks} replicas running"
-    if job.pending == 0:
-        if unknown:
-            machine = node.fleet.machines.get(unknown[0].machine)
-            name = machine.name if machine else "a machine"
-            if machine is not None and job.service:
-                left_s = max(0.0, node.fleet.gone_at(machine) - now)
-                return (
-                    f"{done}; {len(unknown)} may be on {name}, which has not reported since: they"
-                    f" start elsewhere once its return is confirmed, in at most {left_s:.0f} s."
-                )
-            return f"{done}; {len(unknown)} may be on {name}, which has not reported since."
-        if len(running) < len(live):
-            image = cluster_state.names.images.name(job.image)
-            waiting = len(live) - len(running)
-            return f"{done}; {waiting} starting, fetching image {image} ({job.size_gb:g} GB)."
-        return f"{done}; nothing waits."
-    head = f"{done}, {job.pending} waiting"
-    failed_on = len(node.fleet.failures.failed_on(job.index))
-    again = f"tried again in {job.not_before - now:.0f} s"
-    if node.fleet.suspect(job):
-        return (
-            f"{head}: it fails everywhere, on {failed_on} machines since"
-            f" {now - job.suspect_since:.0f} s, and has never completed a task; one task is"
-            f" {again if now < job.not_before else 'being tried'}."
-        )
-    if now < job.not_before:
-        return f"{head}: all that waits has failed before, on {failed_on} machines; {again}."
-    team = node.view.teams[job.team]
-    used = node.view.team_use()[job.team][0]
-    if used + job.cores > team.most_cores + 1e-6:
-        return f"{head}: team {team.name} uses {used:g} of its limit of {team.cpus_max:g} cores."
-    room = node.view.room()
-    want = node.view.request(job)
-    slots = [*room.usable.slots.values(), *room.surplus.slots.values()]
-    allowed = [s for s in slots if s.allowed(want)]
-    fitting = [s for s in allowed if s.fits(want)]
-    zone_left = zone_room(want)
-    if fitting and not any(zone_left(s.zone) > 0 for s in fitting):
-        return (
-            f"{head}: there is room only in zones that its tasks may not be in beside the others."
-        )
-    if fitting:
-        return f"{head}: there is room; it is placed in the next round."
-    booting = sum(m.health is Health.BOOTING for m in node.fleet.machines.values())
-    refused = [
-        f"{cluster_state.names.types.name(kind)} {'spot' if spot else 'ordinary'} in"
-        f" {cluster_state.names.zones.name(zone)}"
-        for kind, zone, spot, _ in node.provisioner.refusals.listed(now)
-    ]
-    tail = f"; the cloud has no more {', '.join(refused)}" if refused else ""
-    deaf = sum(
-        bool(m.not_receiving) and m.health is Health.UP for m in node.fleet.machines.values()
-    )
-    if deaf:
-        tail += f"; {deaf} machines report but do not hear us"
-    late = node.provisioner.late_boots(now)
-    if late:
-        tail += f"; {late} are late in booting"
-    if not node.view.has_goals(job):
-        tail += "; it has neither a deadline nor an objective, and others' work comes first"
-    if node.zone_watch.down:
-        cut = ", ".join(
-            cluster_state.names.zones.name(zone) for zone in sorted(node.zone_watch.down)
-        )
-        tail += f"; cut off: {cut}"
-    return (
-        f"{head}: no room for {job.cores:g} cores and {job.ram_gb:g} GB on any of {len(allowed)}"
-        f" allowed machines, {booting} are booting{tail}."
-    )
-
-
 def explain(node: Controller, job: Job, now: float) -> dict[str, Any]:
     return {
         "job": job.id,
--- /dev/null
+++ b/petrelthread/admin/why.py
@@ -0,0 +1,156 @@
+"""Why a job waits, in one plain sentence with the numbers behind it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from petrelthread import wire
+from petrelthread.admin.troubles import STATE_S
+from petrelthread.fleet import Health
+from petrelthread.ledger import Attempt, Job, Op
+from petrelthread.placement.place import zone_room
+
+if TYPE_CHECKING:
+    from petrelthread.controller import Controller
+
+EPSILON = 1e-6  # of sums of cores
+
+
+def lost(node: Controller, attempt: Attempt) -> bool:
+    """Its machine is silent or on its way back: it may still run there."""
+    machine = node.fleet.machines.get(attempt.machine)
+    return machine is not None and machine.health in (Health.SILENT, Health.RETURNING)
+
+
+def serving(node: Controller, job: Job) -> int:
+    """How many replicas of a service run where they can be reached."""
+    return sum(
+        a.status == wire.RUNNING and a.state is Op.CONFIRMED and not lost(node, a)
+        for a in job.live.values()
+    )
+
+
+def why(node: Controller, job: Job, now: float) -> str:
+    """The first cause that holds, from the service as a whole down to the job's own machines."""
+    if job.final is not None:
+        return f"It is over: {job.final}."
+    if now - node.watch_cache.last_ok > STATE_S:
+        return "The state service does not answer, and nothing is started without it."
+    if node.election.leader is None:
+        since_s = node.troubles.since("leader", now)
+        return f"There is no leader since {since_s:.0f} s, and nothing is started without one."
+    done = _progress(node, job)
+    if job.pending == 0:
+        return _nothing_waits(node, job, done, now)
+    head = f"{done}, {job.pending} waiting"
+    return (
+        _failing(node, job, head, now)
+        or _over_limit(node, job, head)
+        or _room_there(node, job, head)
+        or _no_room(node, job, head, now)
+    )
+
+
+def _running(job: Job) -> int:
+    return sum(bool(a.running_at) and not a.ended for a in job.live.values())
+
+
+def _progress(node: Controller, job: Job) -> str:
+    if job.service:
+        return f"{serving(node, job)} of {job.tasks} replicas running"
+    return f"{job.done} of {job.tasks} tasks done, {_running(job)} running"
+
+
+def _nothing_waits(node: Controller, job: Job, done: str, now: float) -> str:
+    live = list(job.live.values())
+    unknown = [a for a in live if a.state is Op.UNKNOWN or (job.service and lost(node, a))]
+    if unknown:
+        machine = node.fleet.machines.get(unknown[0].machine)
+        name = machine.name if machine else "a machine"
+        if machine is not None and job.service:
+            left_s = max(0.0, node.fleet.gone_at(machine) - now)
+            return (
+                f"{done}; {len(unknown)} may be on {name}, which has not reported since: they"
+                f" start elsewhere once its return is confirmed, in at most {left_s:.0f} s."
+            )
+        return f"{done}; {len(unknown)} may be on {name}, which has not reported since."
+    waiting = len(live) - _running(job)
+    if waiting:
+        image = node.cluster_state.names.images.name(job.image)
+        return f"{done}; {waiting} starting, fetching image {image} ({job.size_gb:g} GB)."
+    return f"{done}; nothing waits."
+
+
+def _failing(node: Controller, job: Job, head: str, now: float) -> str:
+    failed_on = len(node.fleet.failures.failed_on(job.index))
+    again = f"tried again in {job.not_before - now:.0f} s"
+    if node.fleet.suspect(job):
+        return (
+            f"{head}: it fails everywhere, on {failed_on} machines since"
+            f" {now - job.suspect_since:.0f} s, and has never completed a task; one task is"
+            f" {again if now < job.not_before else 'being tried'}."
+        )
+    if now < job.not_before:
+        return f"{head}: all that waits has failed before, on {failed_on} machines; {again}."
+    return ""
+
+
+def _over_limit(node: Controller, job: Job, head: str) -> str:
+    team = node.view.teams[job.team]
+    used = node.view.team_use()[job.team][0]
+    if used + job.cores > team.most_cores + EPSILON:
+        return f"{head}: team {team.name} uses {used:g} of its limit of {team.cpus_max:g} cores."
+    return ""
+
+
+def _room_there(node: Controller, job: Job, head: str) -> str:
+    room = node.view.room()
+    request = node.view.request(job)
+    slots = [*room.usable.slots.values(), *room.surplus.slots.values()]
+    fitting = [slot for slot in slots if slot.allowed(request) and slot.fits(request)]
+    if not fitting:
+        return ""
+    zone_left = zone_room(request)
+    if not any(zone_left(slot.zone) > 0 for slot in fitting):
+        return (
+            f"{head}: there is room only in zones that its tasks may not be in beside the others."
+        )
+    return f"{head}: there is room; it is placed in the next round."
+
+
+def _no_room(node: Controller, job: Job, head: str, now: float) -> str:
+    room = node.view.room()
+    request = node.view.request(job)
+    slots = [*room.usable.slots.values(), *room.surplus.slots.values()]
+    allowed = sum(slot.allowed(request) for slot in slots)
+    booting = sum(m.health is Health.BOOTING for m in node.fleet.machines.values())
+    return (
+        f"{head}: no room for {job.cores:g} cores and {job.ram_gb:g} GB on any of {allowed}"
+        f" allowed machines, {booting} are booting{_besides(node, job, now)}."
+    )
+
+
+def _besides(node: Controller, job: Job, now: float) -> str:
+    """What else keeps machines from being there."""
+    names = node.cluster_state.names
+    tail = ""
+    refused = [
+        f"{names.types.name(kind)} {'spot' if spot else 'ordinary'} in {names.zones.name(zone)}"
+        for kind, zone, spot, _ in node.provisioner.refusals.listed(now)
+    ]
+    if refused:
+        tail += f"; the cloud has no more {', '.join(refused)}"
+    deaf = sum(
+        bool(m.not_receiving) and m.health is Health.UP for m in node.fleet.machines.values()
+    )
+    if deaf:
+        tail += f"; {deaf} machines report but do not hear us"
+    late = node.provisioner.late_boots(now)
+    if late:
+        tail += f"; {late} are late in booting"
+    if not node.view.has_goals(job):
+        tail += "; it has neither a deadline nor an objective, and others' work comes first"
+    if node.zone_watch.down:
+        cut = ", ".join(names.zones.name(zone) for zone in sorted(node.zone_watch.down))
+        tail += f"; cut off: {cut}"
+    return tail
--- a/petrelthread/placement/scheduler.py
+++ b/petrelthread/placement/scheduler.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from petrelthread import wire
-from petrelthread.fleet import Dispatch, Fleet, Machine
+from petrelthread.fleet import Dispatch, Fleet
 from petrelthread.ledger import (
     FINISHED,
     SERIALS,
@@ -21,7 +21,6 @@
     Job,
     Op,
     Outcome,
-    epoch_of,
     first_number,
 )
 from petrelthread.placement.free_room import FreeRoom
@@ -31,6 +30,7 @@
 from petrelthread.placement.round_claim import ClaimBuilder, RoundClaim
 from petrelthread.placement.slot import PlacementRequest, QuotaHeadroom
 from petrelthread.placement.start_check import Start, StartCheck
+from petrelthread.placement.start_log import StartLog
 from petrelthread.placement.stops import Stops
 from petrelthread.placement.view import View
 from petrelthread.settings import Settings
@@ -69,6 +69,7 @@
         self._dispatch = dispatch
         self._view = view
         self._stops = Stops(settings, cluster_state, fleet, view)
+        self._start_log = StartLog(cluster_state, fleet)
         self._refresh = refresh
         self._number = 0
         self._cursor = 0
@@ -309,7 +310,7 @@
         for attempt in launched:
             attempt.at = now
             attempt.job.last_start_at = time.time()
-            self._log_start(attempt)
+            self._start_log.write(attempt)
         stopped = [attempt for attempt in claim.stops if attempt.halted_at]
         for attempt in stopped:
             attempt.halted_at = now
@@ -344,40 +345,6 @@
             self._view.waves(job, job.tasks) * self._view.estimates.run_s(job),
         )
 
-    def _log_start(self, attempt: Attempt) -> None:
-        if not log.isEnabledFor(logging.DEBUG):
-            return
-        machine = self._fleet.machines[attempt.machine]
-        cached = attempt.job.image in machine.images
-        log.debug(
-            "start %s/%d (%s) on %s after %.2f s, image %s; attempt %d of epoch %d, zone %s,"
-            " its other tasks in %s",
-            attempt.job.id,
-            attempt.task,
-            self._cluster_state.names.classes.name(attempt.job.jobclass),
-            machine.name,
-            time.time() - attempt.job.accepted_at,
-            "there" if cached else "to fetch",
-            attempt.number,
-            epoch_of(attempt.number),
-            self._zone_name(machine),
-            self._other_zones(attempt),
-        )
-
-    def _zone_name(self, machine: Machine | None) -> str:
-        if machine is None or machine.zone < 0:
-            return "unknown zone"
-        return self._cluster_state.names.zones.name(machine.zone)
-
-    def _other_zones(self, attempt: Attempt) -> str:
-        """Where the job's other live tasks are, for the log: "zone: tasks, ..." or "none"."""
-        counts: dict[str, int] = {}
-        for other in attempt.job.live.values():
-            if other is not attempt and not other.ended:
-                zone = self._zone_name(self._fleet.machines.get(other.machine))
-                counts[zone] = counts.get(zone, 0) + 1
-        return ", ".join(f"{zone}: {count}" for zone, count in sorted(counts.items())) or "none"
-
     def _dropped(self, key: str) -> None:
         kind, _, number = key.partition("/")
         if kind == "r":
--- /dev/null
+++ b/petrelthread/placement/start_log.py
@@ -0,0 +1,54 @@
+"""One log line for each start, with what is needed to judge it afterwards."""
+
+from __future__ import annotations
+
+import logging
+import time
+
+from petrelthread.fleet import Fleet, Machine
+from petrelthread.ledger import Attempt, ClusterState, epoch_of
+
+log = logging.getLogger(__name__)
+
+
+class StartLog:
+    """Names machines, zones and classes as operators know them."""
+
+    def __init__(self, cluster_state: ClusterState, fleet: Fleet) -> None:
+        self._cluster_state = cluster_state
+        self._fleet = fleet
+
+    def write(self, attempt: Attempt) -> None:
+        """At level debug: where it starts, after which wait, and where its job's others are."""
+        if not log.isEnabledFor(logging.DEBUG):
+            return
+        machine = self._fleet.machines[attempt.machine]
+        cached = attempt.job.image in machine.images
+        log.debug(
+            "start %s/%d (%s) on %s after %.2f s, image %s; attempt %d of epoch %d, zone %s,"
+            " its other tasks in %s",
+            attempt.job.id,
+            attempt.task,
+            self._cluster_state.names.classes.name(attempt.job.jobclass),
+            machine.name,
+            time.time() - attempt.job.accepted_at,
+            "there" if cached else "to fetch",
+            attempt.number,
+            epoch_of(attempt.number),
+            self._zone_name(machine),
+            self._other_zones(attempt),
+        )
+
+    def _zone_name(self, machine: Machine | None) -> str:
+        if machine is None or machine.zone < 0:
+            return "unknown zone"
+        return self._cluster_state.names.zones.name(machine.zone)
+
+    def _other_zones(self, attempt: Attempt) -> str:
+        """Where the job's other live tasks are, for the log: "zone: tasks, ..." or "none"."""
+        counts: dict[str, int] = {}
+        for other in attempt.job.live.values():
+            if other is not attempt and not other.ended:
+                zone = self._zone_name(self._fleet.machines.get(other.machine))
+                counts[zone] = counts.get(zone, 0) + 1
+        return ", ".join(f"{zone}: {count}" for zone, count in sorted(counts.items())) or "none"
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -10,7 +10,7 @@
 
 from petrelthread.admin.api import DIRECT
 from petrelthread.admin.troubles import Troubles
-from petrelthread.admin.views import why
+from petrelthread.admin.why import why
 from petrelthread.emulator.worker import Worker
 from tests.test_faults import run
 from tests.world import NODES, SMALL, World, job
