A deposed leader takes in no late answers; starts of a newer epoch are not an older leader's

A controller that had lost the lead went on taking in answers to its own commands, late, for its former epoch.

Fleet.step_down: without the lead there is no epoch to take anything in for. An attempt is superseded as unlisted only if its epoch is older than the leader's own.

Both tests fail with their guard taken out.

--- a/petrelthread/controller.py
+++ b/petrelthread/controller.py
@@ -218,6 +218,8 @@
 
     def _on_role(self, role: Role) -> None:
         acting = role in ACTING
+        if not acting:
+            self.fleet.step_down()
         self._set_write_rate(asyncio.get_running_loop().time())
         self.watch_cache.gap_s = 0.03 if acting else 0.15
         if role is Role.LEADING:
--- a/petrelthread/fleet/dispatch.py
+++ b/petrelthread/fleet/dispatch.py
@@ -10,7 +10,7 @@
 from petrelthread import wire
 from petrelthread.fleet.machine import Machine
 from petrelthread.fleet.silence import SilenceWatch
-from petrelthread.fleet.table import Fleet
+from petrelthread.fleet.table import NO_EPOCH, Fleet
 from petrelthread.http import NoAnswer
 from petrelthread.ledger import Attempt, Op, move
 from petrelthread.store import Request
@@ -35,6 +35,8 @@
 
     def send(self, launches: list[Attempt], stops: list[Attempt]) -> None:
         """Send what a won claim allows. What is lost on the way rides on check-in answers."""
+        if self._fleet.epoch == NO_EPOCH:
+            return  # the lead was lost while the claim was under way
         by_machine: dict[int, tuple[list[Attempt], list[Attempt]]] = {}
         for attempt in launches:
             by_machine.setdefault(attempt.machine, ([], []))[0].append(attempt)
--- a/petrelthread/fleet/table.py
+++ b/petrelthread/fleet/table.py
@@ -13,6 +13,7 @@
 log = logging.getLogger(__name__)
 
 DRIFT = 1.002
+NO_EPOCH = -1  # of a controller that does not lead
 BEFORE_RUNNING = ("", wire.FETCHING, wire.GATHERING)
 IGNORED_MOST = 3  # reports in a row without what they were told to start: it hears nothing
 SHOWN_ON = 8  # machines named in the record of a job that fails everywhere
@@ -68,6 +69,10 @@
         )
         return machine.open and ours
 
+    def step_down(self) -> None:
+        """This controller leads no more: what still comes for its epoch is not to be taken in."""
+        self.epoch = NO_EPOCH
+
     def take_over(self, epoch: int, now: float, recorded: Collection[str] = ()) -> None:
         """Everything known before is hearsay now, until workers have reported again.
 
@@ -439,8 +444,9 @@
             if not attempt.ended:
                 self.supersede(attempt, f"{machine.name} no longer lists it")
             return
-        if epoch_of(attempt.number) == self.epoch:
-            return  # ours, lost on the way: orders() sends it again
+        if epoch_of(attempt.number) >= self.epoch:
+            # Ours was lost on the way, and is sent again; a newer leader's is none of our business.
+            return
         if machine.seen_token >= self.epoch:
             # No older leader's command can start it any more.
             self.supersede(attempt, f"{machine.name} does not list it and knows epoch {self.epoch}")
--- a/petrelthread/fleet/test_dispatch.py
+++ b/petrelthread/fleet/test_dispatch.py
@@ -5,13 +5,14 @@
 import asyncio
 from typing import Any
 
+import orjson
 import pytest
 
 from petrelthread import wire
 from petrelthread.fleet import Commands, Dispatch, Fleet, Machine, SilenceWatch
 from petrelthread.fleet.dispatch import READ_AT_ONCE, READ_WHEN_LATE
 from petrelthread.http import NoAnswer, Reply
-from petrelthread.ledger import Attempt, ClusterState, Interners, Job, Op
+from petrelthread.ledger import Attempt, ClusterState, Interners, Job, Op, move
 from tests.virtual import play
 from tests.world import job
 
@@ -127,3 +128,33 @@
         assert calls == 4000 // most
 
     asyncio.run(main())
+
+
+class SlowGround(Ground):
+    """Machines answer after a second, with a report that shows no tasks."""
+
+    async def request(
+        self, addr: str, method: str, target: str, body: Any, timeout: float
+    ) -> Reply:
+        self.asked.append(addr)
+        await asyncio.sleep(1.0)
+        return Reply(200, orjson.dumps({"perch": addr, "flight": 1, "tick": 9, "baton": EPOCH}))
+
+
+@pytest.mark.parametrize("deposed", [False, True])
+def test_an_answer_that_comes_after_the_lead_is_lost_changes_nothing(deposed: bool) -> None:
+    """Between the command and its answer another leader may have started what the answer lacks."""
+
+    async def main() -> None:
+        ground = SlowGround()
+        attempt = ground.start(ground.hearing)
+        await asyncio.sleep(0.5)
+        move(attempt, Op.CONFIRMED)
+        if deposed:
+            ground.fleet.step_down()
+        await asyncio.sleep(2.0)
+        assert ground.asked == ["host-1"]
+        assert ground.hearing.tick == (-1 if deposed else 9)
+        assert attempt.state is (Op.CONFIRMED if deposed else Op.SUPERSEDED)
+
+    play(main())
--- a/petrelthread/fleet/test_table.py
+++ b/petrelthread/fleet/test_table.py
@@ -287,3 +287,15 @@
     fleet.finished[found.index] = {1, 2}
     assert found.pending == 4
     assert fleet.startable(found) == 2
+
+
+def test_a_report_proves_nothing_about_starts_of_a_newer_leader() -> None:
+    """A deposed leader took an answer to its own commands in, late, after the watch had shown it
+    what its successor started: those were superseded as if they were an older leader's. Elected
+    again, it started them a second time."""
+    fleet = fleet_at(100.0)
+    fleet.on_report(report(1, EPOCH), 100.5, answered=True)
+    _, attempt = started(fleet, (EPOCH + 1) << 20)
+    fleet.on_report(report(2, EPOCH), 101.0, answered=False)
+    assert attempt.state is not Op.SUPERSEDED
+    assert fleet.cluster_state.jobs[0].live[0] is attempt
