Socket tests listen on an address of their own process

The extra peer was none of the test's own; who it was is not known.

The tests listen on a loopback address made from their process id instead of 127.0.0.1. The assertions are as strict as before.

--- a/petrelthread/http/test_sockets.py
+++ b/petrelthread/http/test_sockets.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import os
 
 import pytest
 
 from petrelthread.http import Client, NoAnswer, Response, Server, answer, share_out
 
+# An address of this process alone. On 127.0.0.1 the counts were off by one beside other work on the
+# machine: a connection that was none of ours had found the port.
+HOST = f"127.{os.getpid() >> 16 & 127 | 128}.{os.getpid() >> 8 & 255}.{os.getpid() & 255}"
 GET = b"GET /x HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
@@ -45,7 +49,7 @@
 
 
 async def connect(port: int, count: int) -> list[Wire]:
-    return [Wire(*await asyncio.open_connection("127.0.0.1", port)) for _ in range(count)]
+    return [Wire(*await asyncio.open_connection(HOST, port)) for _ in range(count)]
 
 
 def test_hundreds_of_connections_dead_ones_give_way_and_none_leaks() -> None:
@@ -53,7 +57,7 @@
 
     async def main() -> None:
         server = Server(fine, room, stale_s)
-        listening = await server.listen("127.0.0.1", 0)
+        listening = await server.listen(HOST, 0)
         port = listening.sockets[0].getsockname()[1]
         kept = await connect(port, 360)  # nine tenths of the room
         assert all(b" 200 " in head for head in await asyncio.gather(*(w.ask() for w in kept)))
@@ -85,7 +89,7 @@
 def test_beyond_the_room_connections_are_refused_at_once() -> None:
     async def main() -> None:
         server = Server(fine, 20, 60.0)
-        listening = await server.listen("127.0.0.1", 0)
+        listening = await server.listen(HOST, 0)
         port = listening.sockets[0].getsockname()[1]
         held = await connect(port, 20)
         await asyncio.sleep(0.05)
