--- a/petrelthread/http/server.py
+++ b/petrelthread/http/server.py
@@ -157,13 +157,12 @@
 
     async def _requests(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         conn = _new_connection()
-        served_at = 0.0
         loop = asyncio.get_running_loop()
         while True:
             try:
                 self._waiting[writer] = loop.time()
                 async with asyncio.timeout(IDLE_S):
-                    event = await self._next(conn, reader, writer, served_at)
+                    event = await self._next(conn, reader, writer, begins=True)
                 self._waiting.pop(writer, None)
                 if not isinstance(event, h11.Request):
                     return
@@ -198,7 +197,6 @@
             await writer.drain()
             if close:
                 return
-            served_at = loop.time()
             unread, _ = conn.trailing_data
             conn = _new_connection()
             if unread:
@@ -209,10 +207,10 @@
         conn: h11.Connection,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        served_at: float | None = None,
+        begins: bool = False,
     ) -> Any:
-        """The next event of the connection. ``served_at``: it is to be the head of a request, which
-        waits for its turn before it is parsed, and when the one before it was served."""
+        """The next event of the connection. ``begins``: it is to be the head of a request, which
+        waits for its turn before it is parsed."""
         while True:
             event = conn.next_event()
             if event is not h11.NEED_DATA:
@@ -221,11 +219,11 @@
                 go_on = h11.InformationalResponse(status_code=100, headers=[])
                 writer.write(conn.send(go_on) or b"")
             data = await reader.read(65536)
-            if served_at is not None and data:
+            if begins and data:
+                begins = False
                 self._waiting.pop(writer, None)  # not silent: it is we who take our time
                 kind = _kind_of(data)
-                turn = await self._gate.turn(kind, served_at)
-                served_at = None
+                turn = await self._gate.turn(kind)
                 if turn is Turn.TURNED_AWAY:
                     if kind is Kind.USER:
                         writer.write(_head(BUSY, close=True) + BUSY.body)
--- a/petrelthread/http/turn_gate.py
+++ b/petrelthread/http/turn_gate.py
@@ -14,8 +14,6 @@
 from __future__ import annotations
 
 import asyncio
-import heapq
-import itertools
 from collections import deque
 from collections.abc import Callable
 from enum import Enum
@@ -44,52 +42,8 @@
 
 
 class _Waiting(NamedTuple):
-    last_served_at: float  # of its connection: who was served the longest ago goes first
-    order: int
-    since: float
     future: asyncio.Future[Turn]
-
-
-class _Queue:
-    """Waiting requests of one kind."""
-
-    def __init__(self) -> None:
-        self._order = itertools.count()
-        self._by_need: list[_Waiting] = []  # a heap
-        self._by_arrival: deque[_Waiting] = deque()
-        self.length = 0
-
-    def add(self, last_served_at: float, now: float) -> asyncio.Future[Turn]:
-        future: asyncio.Future[Turn] = asyncio.get_running_loop().create_future()
-        waiting = _Waiting(last_served_at, next(self._order), now, future)
-        heapq.heappush(self._by_need, waiting)
-        self._by_arrival.append(waiting)
-        self.length += 1
-        return future
-
-    def release(self) -> bool:
-        """Let one go on. False if the one whose turn it was has given up meanwhile."""
-        while self._by_need:
-            future = heapq.heappop(self._by_need).future
-            if future.done() and not future.cancelled():
-                continue  # turned away earlier, and counted then
-            self.length -= 1
-            if future.cancelled():
-                return False
-            future.set_result(Turn.HELD_BACK)
-            return True
-        return False
-
-    def turn_away(self, before: float) -> int:
-        """Give up those that have waited since before an instant. Returns how many."""
-        count = 0
-        while self._by_arrival and self._by_arrival[0].since < before:
-            future = self._by_arrival.popleft().future
-            if not future.done():
-                future.set_result(Turn.TURNED_AWAY)
-                self.length -= 1
-                count += 1
-        return count
+    since: float
 
 
 class TurnGate:
@@ -99,7 +53,7 @@
         """``clock``: seconds, for tests; the event loop's by default."""
         self._clock = clock
         self._spell_s = spell_s
-        self._queues = {kind: _Queue() for kind in Kind}
+        self._queues: dict[Kind, deque[_Waiting]] = {kind: deque() for kind in Kind}
         self._begun_at: float | None = None  # of the spell under way
         self._served = 0  # in this spell
         self._turns = 0
@@ -113,23 +67,20 @@
     @property
     def waiting(self) -> int:
         """How many requests wait for a later turn of the loop."""
-        return sum(queue.length for queue in self._queues.values())
+        return sum(len(queue) for queue in self._queues.values())
 
     def _now(self) -> float:
         return self._clock() if self._clock else asyncio.get_running_loop().time()
 
-    async def turn(self, kind: Kind, last_served_at: float = 0.0) -> Turn:
+    async def turn(self, kind: Kind) -> Turn:
         """Return once it is known whether the request is served: at once unless the loop has much
-        to do, and after ``WAIT_MOST_S`` at the latest while the loop runs on time.
-
-        ``last_served_at``: when the connection's last request was. A worker that was turned away
-        comes on a new connection and goes before those that were answered: served by arrival,
-        some were turned away time after time until their lease ran out.
-        """
+        to do, and after ``WAIT_MOST_S`` at the latest while the loop runs on time."""
         if not self.waiting and self._room_now():
             return Turn.AT_ONCE
+        future: asyncio.Future[Turn] = asyncio.get_running_loop().create_future()
+        self._queues[kind].append(_Waiting(future, self._now()))
         self.held_back += 1
-        return await self._queues[kind].add(last_served_at, self._now())
+        return await future
 
     def note_refused(self) -> None:
         """A connection was closed at once for want of sockets."""
@@ -160,10 +111,7 @@
             return
         self._begin(now)
         for queue in self._queues.values():
-            count = queue.turn_away(now - WAIT_MOST_S)
-            if count:
-                self.turned_away += count
-                self.turned_away_at = now
+            self._turn_away(queue, now)
         most = max(1, int(self._spell_s / max(self._cost_s, 1e-6)))
         while self._served < most and self.waiting:
             self._release()
@@ -173,5 +121,16 @@
         first, second = Kind.WORKER, Kind.USER
         if self._turns % USERS_EVERY == 0:
             first, second = second, first
-        queue = self._queues[first] if self._queues[first].length else self._queues[second]
-        self._served += queue.release()
+        queue = self._queues[first] or self._queues[second]
+        future = queue.popleft().future
+        if not future.done():  # the connection may have ended meanwhile
+            future.set_result(Turn.HELD_BACK)
+            self._served += 1
+
+    def _turn_away(self, queue: deque[_Waiting], now: float) -> None:
+        while queue and now - queue[0].since > WAIT_MOST_S:
+            future = queue.popleft().future
+            if not future.done():
+                future.set_result(Turn.TURNED_AWAY)
+                self.turned_away += 1
+                self.turned_away_at = now
