--- a/petrelthread/placement/test_free_room.py
+++ b/petrelthread/placement/test_free_room.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import pytest
 
@@ -204,11 +204,11 @@
     )
 
 
-def one_task(**more: object) -> PlacementRequest:
+def one_task(**more: Any) -> PlacementRequest:
     request = PlacementRequest(
         0, 0, 1, 1, 2.0, 0.0, 2.0, 0, None, None, True, False, False, JobOccupancy()
     )
-    return request._replace(**more)  # type: ignore[arg-type]
+    return request._replace(**more)
 
 
 @pytest.mark.parametrize("full_share", [0.0, 0.5, 1.0])
--- a/petrelthread/rental/test_plan.py
+++ b/petrelthread/rental/test_plan.py
@@ -267,7 +267,9 @@
     play(main())
 
 
-def test_more_silent_machines_with_replicas_than_one_call_may_name_all_go_back() -> None:
+def test_more_silent_machines_with_replicas_than_one_call_may_name_all_go_back(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """The cloud refuses a call of more than 100 names, and the same call was repeated for ever."""
 
     async def scenario(world: World) -> None:
@@ -281,7 +283,7 @@
             named.append(len(names))
             await give_back(names)
 
-        node.provisioner._cloud.give_back = counted  # type: ignore[method-assign]
+        monkeypatch.setattr(node.provisioner._cloud, "give_back", counted)
         await node.provisioner._return_all(machines, now)
         assert all(m.health is Health.GONE for m in machines)
         assert max(named) == wire.RETURN_MOST
--- a/tests/test_take_over.py
+++ b/tests/test_take_over.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 
 import pytest
 
@@ -52,10 +53,10 @@
         await world.running(6)
         old = await world.led()
 
-        def fate(source: str, addr: str, method: str, target: str, body: object) -> object:
+        def fate(source: str, addr: str, method: str, target: str, body: Any) -> Any:
             return None if target in ("/show", "/do") else (0.0, False)
 
-        world.net.fate = fate  # type: ignore[assignment]
+        world.net.fate = fate
         world.crash(old)
         await asyncio.sleep(12.0)
         world.net.fate = None
