--- a/petrelthread/emulator/judge.py
+++ b/petrelthread/emulator/judge.py
@@ -89,6 +89,16 @@
         if self.cancelled:
             self.cancels()
 
+    def told_to_start(self, leg: str, machine: str, token: int) -> None:
+        """A worker has accepted a start. With the image there, the task would be on at once."""
+        now = asyncio.get_running_loop().time()
+        self.note(leg, f"{machine}: told to start {leg}, token {token}")
+        at = self.cancelled.get(leg.rpartition("/")[0])
+        if at is not None and now > at + self.world.workers.cancel_s:
+            self.broken.append(
+                f"ran_cancelled: {leg} was started on {machine} {now - at:.1f} s after its cancel"
+            )
+
     def _over_limit(self, leg: str, team: str, now: float) -> str:
         """The violation, with all that the team has on machines."""
         there = [
--- a/petrelthread/emulator/worker.py
+++ b/petrelthread/emulator/worker.py
@@ -151,7 +151,7 @@
                 if entry is not None and entry["status"] != "ended":
                     continue
                 self.tasks[leg] = {"try": order["try"], "status": "fetching", "at": self._now()}
-                self.world.judge.note(leg, f"{self.name}: told to start {leg}, token {self.token}")
+                self.world.judge.told_to_start(leg, self.name, self.token)
             elif entry is None or entry["try"] != order["try"]:
                 continue
             elif order["verb"] == "halt" and entry["status"] != "ended":
