Unanswered direct starts are made void by a higher token, or by their machine's lease

Cause: a right given out and never taken back. A direct start without an answer stays executable as long as its token and session match; a leader that lives on changed neither, so a command held for 75 s began a task cancelled 72 s before.

Change: the leader raises its token by one transaction under its own lease and present token (the keys lead and epoch, in their old form; the next election is above it), when an unwanted start may still come or an unanswered one is as old as a lease; at most once a third of the hold-over, half a lease at most. Records keep the number of the election. A start counts as uncertain from the moment it is sent. While the token can't be raised, its machine is no longer answered from the hold-over's end on, counted from the newest read at which the job was open. A command under way at the raise is refused and sent again at once. Claims compare the election, not the keys' revisions, so that a raise throws no round away. A start of a job that is over and older than the bound is counted and logged. Also: after a reload in which another's election showed, the epoch key's revision was not kept and the node could not be elected again until another one was.

Three guards have no failing test yet: supersede while unwanted, hearsay of the own raise, answers as renewals.

--- a/petrelthread/controller.py
+++ b/petrelthread/controller.py
@@ -99,8 +99,10 @@
             randomness,
             self._on_elected,
             self._on_role,
+            self._on_token,
         )
         self.fleet = Fleet(self.cluster_state, workers.lease_s, workers.report_s, hold_over_s)
+        self.fleet.uncertain.read_at = lambda: self.watch_cache.last_ok
         claims = Claims(state, self.election.fence)
         self._claims = claims
         estimates = Estimates()
@@ -227,10 +229,14 @@
             self.provisioner.wake.set()
             self.scheduler.wake.set()
 
+    def _on_token(self, token: int) -> None:
+        self.fleet.token = token
+
     async def _on_elected(self) -> None:
         now = asyncio.get_running_loop().time()
         epoch = self.election.epoch
         self.fleet.take_over(epoch, now, self.cluster_state.recorded_machines())
+        self.fleet.token = self.election.token
         self.scheduler.take_over(epoch)
         self.provisioner.take_over(now)
         self.zone_watch.clear()
@@ -365,8 +371,10 @@
             if home == self.settings.host_name:
                 home = None
             return answer(421, wire.go_to(home))
+        if self._lease_must_end(report, now):
+            return refusal(503, "a late start may still reach this machine: its lease must end")
         if election.role is Role.TAKING_OVER:
-            return answer(200, wire.checkin_answer(election.epoch, self.commands.halts(report)))
+            return answer(200, wire.checkin_answer(election.token, self.commands.halts(report)))
         machine = self.fleet.on_report(report, now, answered=True)
         if not election.leading:
             orders = self.commands.halts(report)
@@ -374,7 +382,22 @@
             orders = self.commands.for_report(machine, report, now, election.starting)
         else:
             orders = []
-        return answer(200, wire.checkin_answer(election.epoch, orders))
+        return answer(200, wire.checkin_answer(election.token, orders))
+
+    def _lease_must_end(self, report: wire.Report, now: float) -> bool:
+        """Whether an answer might keep a start executable that was cancelled too long ago."""
+        uncertain, token = self.fleet.uncertain, self.election.token
+        machine = self.fleet.known(report.perch)
+        if machine is None or not uncertain.any_on(machine.index):
+            return False
+        if not uncertain.may_answer(machine.index, token, now):
+            # What it shows is evidence all the same: a later session, or a higher token.
+            self.fleet.on_report(report, now, answered=False)
+            if not uncertain.may_answer(machine.index, token, now):
+                log.info("machine %s is not answered: a start may come late", machine.name)
+                return True
+        uncertain.note_answer(machine.index, token, now)
+        return False
 
     # ---- loops -----------------------------------------------------------------------------------
 
@@ -409,6 +432,7 @@
                     silence_at = now
                     self.silence.tick(now, self._silence_limit_s(now))
                     self.dispatch.probe(now)
+                    await self._make_starts_void(now)
                 if self.scheduler.numbers_left() < SERIALS_KEPT:
                     await self.election.resign("the numbers of this epoch are used up", 0.0)
                 elif await self.scheduler.round(now):
@@ -417,6 +441,16 @@
                 log.exception("round failed")
             await asyncio.sleep(self.scheduler.gap_s)
 
+    async def _make_starts_void(self, now: float) -> None:
+        """Raise the fencing token when starts without an answer must not be carried out any more"""
+        uncertain = self.fleet.uncertain
+        reason = uncertain.raise_due(self.election.token, now)
+        if reason is None:
+            return
+        log.info("raising the token: %s (%d uncertain)", reason.value, uncertain.count())
+        await self._claims.between_claims(self.election.raise_token)
+        uncertain.raise_tried(asyncio.get_running_loop().time())
+
     def _silence_limit_s(self, now: float) -> float:
         """How long a machine may be silent.
 
--- a/petrelthread/fleet/commands.py
+++ b/petrelthread/fleet/commands.py
@@ -7,6 +7,7 @@
 from petrelthread import wire
 from petrelthread.fleet.machine import Machine
 from petrelthread.fleet.table import Fleet
+from petrelthread.fleet.uncertain_starts import StartKey, key_of
 from petrelthread.ledger import FINISHED, Attempt, Job, epoch_of
 
 
@@ -78,7 +79,7 @@
             if epoch_of(attempt.number) != self._fleet.epoch:
                 continue
             if self._unwanted(attempt) or attempt.halted_at:
-                if (*key, attempt.number) not in machine.uncertain_starts:
+                if not self._fleet.uncertain.holds(machine.index, key_of(attempt)):
                     self._fleet.supersede(attempt, "never shown, no longer wanted")
                 continue
             out.append(wire.launch(attempt.job.id, attempt.task, attempt.number))
@@ -95,7 +96,7 @@
     ) -> bool:
         if job is None:
             return False  # the cluster state may lag; a job that never was does not reach a worker
-        if (job.index, task, leg.try_) in machine.uncertain_starts:
+        if self._fleet.uncertain.holds(machine.index, StartKey(job.index, task, leg.try_)):
             return False  # a late direct command would start it again
         if leg.cause == wire.CAUSE_DONE and not job.service:
             # Forgotten only once it is durable.
--- a/petrelthread/fleet/dispatch.py
+++ b/petrelthread/fleet/dispatch.py
@@ -11,13 +11,14 @@
 from petrelthread.fleet.machine import Machine
 from petrelthread.fleet.silence import SilenceWatch
 from petrelthread.fleet.table import NO_EPOCH, Fleet
-from petrelthread.http import NoAnswer
+from petrelthread.http import NoAnswer, Reply
 from petrelthread.ledger import Attempt, Op, move
 from petrelthread.store import Request
 
 log = logging.getLogger(__name__)
 
 ANSWER_S = 2.0
+OK, CONFLICT = 200, 409  # a worker has carried a command out, or nothing of it
 PROBE_S = 1.0
 READ_AT_ONCE = 250  # workers that one call asks for their reports,
 READ_WHEN_LATE = 25  # and while the event loop
@@ -63,10 +64,10 @@
             machine.read_asked_at = now
             asyncio.create_task(self._read_worker(machine, self._fleet.epoch))
 
-    async def _read_worker(self, machine: Machine, token: int) -> None:
+    async def _read_worker(self, machine: Machine, epoch: int) -> None:
         fleet = self._fleet
         async with self._room:
-            if fleet.epoch != token or machine.epoch_heard == token:
+            if fleet.epoch != epoch or machine.epoch_heard == epoch:
                 return
             clock = asyncio.get_running_loop().time
             asked = clock()
@@ -74,7 +75,7 @@
                 shown = await self._request(machine.addr, "GET", wire.SHOW_PATH, timeout=ANSWER_S)
                 session = wire.parse_report(shown.body).flight
                 # No orders: that it takes our token is all. From then on it refuses older ones.
-                body = wire.do_request(token, session, [])
+                body = wire.do_request(fleet.token, session, [])
                 reply = await self._request(
                     machine.addr, "POST", wire.DO_PATH, body, timeout=ANSWER_S
                 )
@@ -83,10 +84,10 @@
                 log.debug("machine %s: not read: %s", machine.name, error)
                 # A time limit that struck late, or while we stood still, shows only that we were.
                 on_time = clock() - asked < 2 * ANSWER_S + ON_TIME_S and fleet.resumed_at < asked
-                if fleet.epoch == token and on_time and isinstance(error, NoAnswer):
+                if fleet.epoch == epoch and on_time and isinstance(error, NoAnswer):
                     self._silence.read(machine, answered=False)
                 return
-        if reply.status == 200 and fleet.epoch == token:
+        if reply.status == 200 and fleet.epoch == epoch:
             fleet.on_report(report, asyncio.get_running_loop().time(), answered=False)
 
     def probe(self, now: float) -> None:
@@ -95,7 +96,7 @@
             machine.probing = True
             asyncio.create_task(self._probe(machine, self._fleet.epoch))
 
-    async def _probe(self, machine: Machine, token: int) -> None:
+    async def _probe(self, machine: Machine, epoch: int) -> None:
         asked = asyncio.get_running_loop().time()
         try:
             await self._request(machine.addr, "GET", wire.SHOW_PATH, timeout=PROBE_S)
@@ -104,57 +105,90 @@
             answered = False
         finally:
             machine.probing = False
-        if self._fleet.epoch == token and machine.heard_at < asked:
+        if self._fleet.epoch == epoch and machine.heard_at < asked:
             self._silence.probed(machine, answered, asyncio.get_running_loop().time())
 
     async def _send(
-        self, machine: Machine, starting: list[Attempt], stopping: list[Attempt], token: int
+        self, machine: Machine, starting: list[Attempt], stopping: list[Attempt], epoch: int
     ) -> None:
         fleet = self._fleet
-        session = machine.session
-        reply = None
         async with self._room:
-            # What waited here may have gone out with the answer to a report meanwhile, or this
-            # controller may have lost the right to start it.
-            may_start = self.may_start()
-            going = [
-                a
-                for a in starting
-                if may_start
-                and a.state is Op.DISPATCHING
-                and a.session == session
-                and not a.start_delivered
-                and not a.job.final
-            ]
-            orders: list[dict[str, Any]] = [
-                wire.halt(a.job.id, a.task, a.number, a.job.grace_s) for a in stopping
-            ]
-            orders += [wire.launch(a.job.id, a.task, a.number) for a in going]
-            if not orders or fleet.epoch != token:
+            token = fleet.token
+            reply = await self._command(machine, starting, stopping, epoch)
+            if reply is None or fleet.epoch != epoch:
                 return
-            body = wire.do_request(token, session, orders)
-            machine.sending += 1
-            try:
-                reply = await self._request(
-                    machine.addr, "POST", wire.DO_PATH, body, timeout=ANSWER_S
-                )
-            except NoAnswer as error:
-                log.debug("machine %s: no answer to commands: %s", machine.name, error)
-                machine.unanswered_at = asyncio.get_running_loop().time()
-                if error.sent:
-                    for a in going:
-                        machine.uncertain_starts[a.job.index, a.task, a.number] = token
-                        if a.state is Op.DISPATCHING:
-                            move(a, Op.UNKNOWN)
-            finally:
-                machine.sending = max(0, machine.sending - 1)
-        if reply is None or fleet.epoch != token:
+            self._take_in(machine, reply)
+            if reply.status == CONFLICT and fleet.token > token:
+                # The token was raised while the command was under way: nothing was carried out.
+                reply = await self._command(machine, starting, stopping, epoch)
+                if reply is not None and fleet.epoch == epoch:
+                    self._take_in(machine, reply)
+
+    async def _command(
+        self, machine: Machine, starting: list[Attempt], stopping: list[Attempt], epoch: int
+    ) -> Reply | None:
+        """Send one direct command with what is still wanted of it; the answer, if one came."""
+        fleet = self._fleet
+        if fleet.epoch != epoch:
+            return None
+        going = self._still_to_start(machine, starting)
+        orders: list[dict[str, Any]] = [
+            wire.halt(a.job.id, a.task, a.number, a.job.grace_s) for a in stopping
+        ]
+        orders += [wire.launch(a.job.id, a.task, a.number) for a in going]
+        if not orders:
+            return None
+        clock = asyncio.get_running_loop().time
+        for attempt in going:
+            fleet.note_start_sent(attempt, machine, clock())
+        body = wire.do_request(fleet.token, machine.session, orders)
+        machine.sending += 1
+        try:
+            reply = await self._request(machine.addr, "POST", wire.DO_PATH, body, timeout=ANSWER_S)
+        except NoAnswer as error:
+            log.debug("machine %s: no answer to commands: %s", machine.name, error)
+            machine.unanswered_at = clock()
+            self._give_up(going, error.sent)
+            return None
+        finally:
+            machine.sending = max(0, machine.sending - 1)
+        if reply.status not in (OK, CONFLICT):
+            self._give_up(going, sent=True)
+            return None
+        for attempt in going:
+            fleet.uncertain.answered(attempt)
+        return reply
+
+    def _still_to_start(self, machine: Machine, starting: list[Attempt]) -> list[Attempt]:
+        """What waited for its turn may have gone out with the answer to a report meanwhile, or this
+        controller may have lost the right to start it."""
+        if not self.may_start():
+            return []
+        return [
+            attempt
+            for attempt in starting
+            if attempt.state is Op.DISPATCHING
+            and attempt.session == machine.session
+            and not attempt.start_delivered
+            and not attempt.halted_at
+            and not attempt.job.final
+        ]
+
+    def _give_up(self, going: list[Attempt], sent: bool) -> None:
+        """No answer came. ``sent``: the command may have left, so it may arrive at any time."""
+        for attempt in going:
+            if not sent:
+                self._fleet.uncertain.answered(attempt)
+                continue
+            self._fleet.uncertain.unanswered(attempt)
+            if attempt.state is Op.DISPATCHING:
+                move(attempt, Op.UNKNOWN)
+
+    def _take_in(self, machine: Machine, reply: Reply) -> None:
+        """The answer to a command is the worker's report."""
+        try:
+            report = wire.parse_report(reply.body)
+        except wire.BadRequest as error:
+            log.info("machine %s: garbled answer: %s", machine.name, error)
             return
-        if reply.status in (200, 409):
-            try:
-                report = wire.parse_report(reply.body)
-            except wire.BadRequest as error:
-                log.info("machine %s: garbled answer: %s", machine.name, error)
-                return
-            now = asyncio.get_running_loop().time()
-            fleet.on_report(report, now, answered=False)
+        self._fleet.on_report(report, asyncio.get_running_loop().time(), answered=False)
--- a/petrelthread/fleet/machine.py
+++ b/petrelthread/fleet/machine.py
@@ -83,7 +83,6 @@
         "tick",
         "type",
         "unanswered_at",
-        "uncertain_starts",
         "zone",
     )
 
@@ -129,8 +128,6 @@
         self.probing = False
         self.sending = 0  # direct commands now under way
         self.unanswered_at = 0.0  # when a direct command was last given up
-        # Attempts that an unanswered direct command may still start, with its token.
-        self.uncertain_starts: dict[tuple[int, int, int], int] = {}
         self.images: dict[int, float] = {}  # cached images in order of last use, with their size
         self.fault = ""
         self.retiring = False  # surplus: gets nothing new as long as that lasts
--- a/petrelthread/fleet/silence.py
+++ b/petrelthread/fleet/silence.py
@@ -100,6 +100,7 @@
             for machine in not_receiving:
                 self._judge_fault(machine, now)
         self._end_leases(now)
+        self._fleet.uncertain.end_leases(now)
 
     def _fell_silent(self, machine: Machine, now: float, silent_s: float) -> bool:
         grace = silent_s
--- a/petrelthread/fleet/table.py
+++ b/petrelthread/fleet/table.py
@@ -8,6 +8,7 @@
 from petrelthread import wire
 from petrelthread.fleet.failures import SUSPECT_ON, Failures, Trust
 from petrelthread.fleet.machine import Health, Machine
+from petrelthread.fleet.uncertain_starts import StartKey, UncertainStarts, key_of
 from petrelthread.ledger import FINISHED, PENDING, Attempt, ClusterState, Job, Op, epoch_of, move
 
 log = logging.getLogger(__name__)
@@ -36,7 +37,9 @@
         self.noticed: dict[int, Machine] = {}  # machines that the cloud has said it will take
         self.failures = Failures()
         self.finished: dict[int, set[int]] = {}  # done, not yet durable: job to tasks
-        self.epoch = 0
+        self.uncertain = UncertainStarts(lease_s, hold_over_s)
+        self.epoch = 0  # with which this controller was elected
+        self.token = 0  # what commands and answers carry: the epoch, or raised since
         self.elected_at = 0.0
         self.resumed_at = float("-inf")  # since when this process has not stood still
         self.on_change: Callable[[], None] = lambda: None
@@ -80,7 +83,7 @@
         are listed. A leader that had led before counted 120 machines, long since returned by
         others, as its capacity, and gave back those that had come up since as never up.
         """
-        self.epoch = epoch
+        self.epoch = self.token = epoch
         self.elected_at = now
         self.finished.clear()  # workers report again what is not durable
         self.failures.clear()
@@ -127,12 +130,19 @@
         # one before was answered: a machine that reaches no controller goes from one to the next.
         return max(last, machine.session_at) + self.lease_s * DRIFT + 0.5
 
+    def note_start_sent(self, attempt: Attempt, machine: Machine, now: float) -> None:
+        """A direct command with the present token starts the attempt from now on, or never."""
+        heard = machine.epoch_heard == self.epoch
+        # A machine of ours that has not heard us yet may still be answered by the leader before.
+        renewed_at = now if heard else max(now, self.elected_at + self.hold_over_s)
+        self.uncertain.sent(attempt, machine.name, self.token, now, renewed_at)
+
     def lost(self, machine: Machine, why: str) -> int:
         """The machine's tasks are surely gone."""
         gone = list(self.attempts(machine).values())
         for attempt in gone:
             self.supersede(attempt, why)
-        machine.uncertain_starts.clear()
+        self.uncertain.session_over(machine.index, why)
         return len(gone)
 
     def supersede(self, attempt: Attempt, why: str) -> None:
@@ -212,9 +222,7 @@
             machine.zone = names.zones.index(report.zone)
         machine.spot = report.driftwood
         self._health(machine, report, now, answered)
-        for key, token in list(machine.uncertain_starts.items()):
-            if machine.seen_token > token:
-                del machine.uncertain_starts[key]
+        self.uncertain.shown_token(machine.index, machine.seen_token)
         self._tasks(machine, report, now)
         self._judge_receiving(machine, now)
         return machine
@@ -236,7 +244,7 @@
         for attempt in list(self.attempts(machine).values()):
             if attempt.session < session:
                 self.supersede(attempt, f"{machine.name} began session {session}")
-        machine.uncertain_starts.clear()
+        self.uncertain.session_over(machine.index, f"{machine.name} began session {session}")
         machine.forget_images()
 
     def _lost_lease_lately(self, machine: Machine, now: float) -> bool:
@@ -276,11 +284,14 @@
     def _tasks(self, machine: Machine, report: wire.Report, now: float) -> None:
         cluster_state = self.cluster_state
         shown: set[tuple[int, int]] = set()
+        uncertain = self.uncertain.any_on(machine.index)
         for leg in report.legs:
             job_id, task = leg.task
             job = cluster_state.by_id.get(job_id)
             if job is None or not 0 <= task < job.tasks:
                 continue
+            if uncertain:
+                self.uncertain.shown(machine.index, StartKey(job.index, task, leg.try_))
             attempt = self.attempts(machine).get((job.index, task))
             if attempt is None or attempt.number != leg.try_:
                 if self._stranger(machine, report, job, task, leg, now):
@@ -437,8 +448,7 @@
         self, machine: Machine, report: wire.Report, attempt: Attempt, now: float
     ) -> None:
         """A report newer than all we know does not list the attempt."""
-        key = (attempt.job.index, attempt.task, attempt.number)
-        if machine.sending or key in machine.uncertain_starts:
+        if machine.sending or self.uncertain.holds(machine.index, key_of(attempt)):
             return  # a direct command may be on its way; resent or settled later
         if attempt.state is Op.CONFIRMED:
             if not attempt.ended:
--- a/petrelthread/fleet/test_table.py
+++ b/petrelthread/fleet/test_table.py
@@ -112,14 +112,15 @@
 def test_no_forget_while_a_direct_command_may_still_start_it() -> None:
     fleet = fleet_at(100.0)
     machine, attempt = started(fleet, (EPOCH << 20) + 1)
-    machine.uncertain_starts[0, 0, attempt.number] = EPOCH
+    fleet.note_start_sent(attempt, machine, 100.0)
+    fleet.uncertain.unanswered(attempt)
     stopped = report(1, EPOCH)
     stopped.legs.append(wire.Leg("wk-000001/0", attempt.number, "ended", "stopped"))
     fleet.on_report(stopped, 101.0, answered=True)
     assert not Commands(fleet).for_report(machine, stopped, 101.0)
     later = report(2, EPOCH, session=2)  # a new session: the late command does not match any more
     fleet.on_report(later, 102.0, answered=True)
-    assert not machine.uncertain_starts
+    assert not fleet.uncertain.count()
 
 
 def test_a_machine_that_ignores_starts_gets_no_more_of_them() -> None:
--- a/petrelthread/leadership/election.py
+++ b/petrelthread/leadership/election.py
@@ -10,12 +10,14 @@
 from typing import Any
 
 from petrelthread import wire
+from petrelthread.leadership.fence import Fence
 from petrelthread.store import (
     ROOT,
     Conflict,
     NoSuchLease,
     StateClient,
     StateDown,
+    StateRefused,
     StateUnsure,
     WatchCache,
 )
@@ -24,6 +26,7 @@
 
 LIFE_S = 3.0
 RENEW_S = 0.75
+RETRY_S = 0.15  # between two tries to write a higher token
 DRIFT = 1.001
 
 
@@ -55,6 +58,7 @@
         randomness: random.Random,
         on_elected: Callable[[], Awaitable[None]],
         on_role: Callable[[Role], None],
+        on_token: Callable[[int], None],
     ) -> None:
         self._node = node
         self._client = client
@@ -63,15 +67,20 @@
         self._random = randomness
         self._on_elected = on_elected
         self._on_role = on_role
+        self._on_token = on_token
         self.role = Role.FOLLOWER
-        self.epoch = 0  # ours while acting
+        self.epoch = 0  # of our election, while acting
+        # What workers are shown: the epoch, or higher since then. No epoch is ever as low as a
+        # token that was shown, since both are the value of one key that only rises.
+        self.token = 0
+        self._raising_to = 0  # the token whose writing is under way
         self.known_epoch = 0  # the highest anyone has shown us
         self.leader: dict[str, Any] | None = None  # the lead key's value
         self.elected_at = 0.0
         self.abstain_until = 0.0
-        self._lead_stamp = 0
-        self._epoch_stamp = 0
-        self._epoch_key = 0
+        self._fence_stamp = 0  # revision of both keys as we wrote them, in one transaction
+        self._stored_epoch = 0  # the epoch key as last read, and its revision
+        self._stored_epoch_stamp = 0
         self._lease: int | None = None
         self._nonce = ""
         self._renewed_at = 0.0
@@ -112,14 +121,15 @@
     def home(self) -> str | None:
         return self.leader["node"] if self.leader else None
 
-    def fence(self) -> list[dict[str, Any]] | None:
+    def fence(self) -> Fence | None:
         """The conditions of every claim, or None when there is no right to claim."""
         if self.role not in (Role.TAKING_OVER, Role.LEADING):
             return None
-        return [
-            wire.when(ROOT + "lead", self._lead_stamp),
-            wire.when(ROOT + "epoch", self._epoch_stamp),
+        conditions = [
+            wire.when(ROOT + "lead", self._fence_stamp),
+            wire.when(ROOT + "epoch", self._fence_stamp),
         ]
+        return Fence(self.epoch, conditions)
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
@@ -140,25 +150,24 @@
 
     def on_key(self, key: str, value: Any, stamp: int) -> None:
         if key == "epoch" and value is not None:
-            self._epoch_stamp_seen(int(value), stamp)
+            # Whose it is, the lead key tells, which is always written along with it.
+            self._stored_epoch, self._stored_epoch_stamp = int(value), stamp
+            self.known_epoch = max(self.known_epoch, int(value))
         elif key == "lead":
             self.leader = value
-            if value is not None:
-                self.saw_epoch(int(value["epoch"]))
             ours = value is not None and value["nonce"] == self._nonce
-            if self.role in ACTING and not ours and stamp > self._lead_stamp:
+            if self.role in ACTING and not ours and stamp > self._fence_stamp:
                 self._step_down("the lead key is gone or another's")
+            elif self.role in ACTING and ours:
+                self._adopt_token(int(value["epoch"]), stamp)
+            if value is not None:
+                self.saw_epoch(int(value["epoch"]))
         self.wake.set()
 
-    def _epoch_stamp_seen(self, epoch: int, stamp: int) -> None:
-        if self.role not in ACTING:
-            self._epoch_stamp = stamp
-            self._epoch_key = epoch
-        self.saw_epoch(epoch)
-
     def saw_epoch(self, epoch: int) -> None:
+        """Somebody knows this epoch, or token. One that we may have written is no newer leader's"""
         self.known_epoch = max(self.known_epoch, epoch)
-        if self.role in ACTING and epoch > self.epoch:
+        if self.role in ACTING and epoch > self.token and epoch != self._raising_to:
             self._step_down(f"epoch {epoch} is newer")
 
     def _step_down(self, why: str) -> None:
@@ -230,10 +239,13 @@
         except (StateDown, StateUnsure):
             self._move(Role.FOLLOWER, "no lease to be had")
             raise
-        epoch = self._epoch_key + 1
+        epoch = self._stored_epoch + 1
         self._nonce = f"{self._node}-{self._random.getrandbits(64):016x}"
         value = {"node": self._node, "nonce": self._nonce, "epoch": epoch, "lease": lease}
-        conditions = [wire.when(ROOT + "lead", 0), wire.when(ROOT + "epoch", self._epoch_stamp)]
+        conditions = [
+            wire.when(ROOT + "lead", 0),
+            wire.when(ROOT + "epoch", self._stored_epoch_stamp),
+        ]
         ops = [wire.put(ROOT + "lead", value, lease), wire.put(ROOT + "epoch", epoch)]
         try:
             stamp = await self._client.multi(conditions, ops)
@@ -255,10 +267,10 @@
             self._move(Role.FOLLOWER, "a newer epoch is known")
             await self._revoke(lease)
             return
-        self.epoch = self.known_epoch = epoch
+        self.epoch = self.token = self.known_epoch = epoch
+        self._raising_to = 0
         self._lease = lease
-        self._lead_stamp = self._epoch_stamp = stamp
-        self._epoch_key = epoch
+        self._fence_stamp = stamp
         self._renewed_at = started
         self.elected_at = self._now()
         self._caught_up = False
@@ -276,6 +288,62 @@
             self._caught_up = True
             self._move(Role.LEADING, "state reloaded, workers being read")
 
+    # ---- a higher token under the same lead ----------------------------------------------------
+
+    async def raise_token(self) -> bool:
+        """Show workers a higher token from now on, so that all commands sent so far are refused.
+
+        To be called while no claim is under way, for the conditions of claims change with it. The
+        write holds only under our lease and our present token; unanswered, it is repeated until
+        its fate is known. True if the token is higher now.
+        """
+        epoch, before = self.epoch, self.token
+        self._raising_to = before + 1
+        while self.role is Role.LEADING and self.epoch == epoch and self.token == before:
+            if await self._write_token(before + 1):
+                break
+            await asyncio.sleep(RETRY_S)
+        return self.role in ACTING and self.epoch == epoch and self.token > before
+
+    async def _write_token(self, token: int) -> bool:
+        """One try. True if its fate is known: the token is written, or can't be any more."""
+        fence, lease = self.fence(), self._lease
+        if fence is None or lease is None:
+            return True
+        value = {"node": self._node, "nonce": self._nonce, "epoch": token, "lease": lease}
+        ops = [wire.put(ROOT + "lead", value, lease), wire.put(ROOT + "epoch", token)]
+        try:
+            stamp = await self._client.multi(fence.conditions, ops)
+        except StateRefused as error:
+            log.error("leadership: token %d: %s", token, error)
+            self._raising_to = 0
+            return True
+        except (StateUnsure, StateDown) as error:
+            log.debug("leadership: token %d not written yet: %s", token, error)
+            await self._watch_cache.fresh()
+            return self.token >= token
+        except (Conflict, NoSuchLease):
+            # An earlier copy counts, or this node leads no more: the keys say which.
+            if not await self._watch_cache.fresh():
+                return False
+            self._raising_to = 0
+            self.saw_epoch(self.known_epoch)
+            return True
+        if self.role in ACTING and self.epoch == fence.epoch:
+            self._adopt_token(token, stamp)
+        return True
+
+    def _adopt_token(self, token: int, stamp: int) -> None:
+        """A token that is written under our own lead is ours, whether or not we were told so."""
+        if token <= self.token:
+            return
+        log.info("leadership: token raised from %d to %d (epoch %d)", self.token, token, self.epoch)
+        self.token = token
+        self.known_epoch = max(self.known_epoch, token)
+        self._raising_to = 0
+        self._fence_stamp = stamp
+        self._on_token(token)
+
     async def _renew(self) -> float:
         assert self._lease is not None
         lease, started = self._lease, self._now()
--- a/petrelthread/ledger/claims.py
+++ b/petrelthread/ledger/claims.py
@@ -4,11 +4,12 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from enum import Enum
 from typing import Any
 
 from petrelthread import wire
+from petrelthread.leadership.fence import Fence
 from petrelthread.store import (
     ROOT,
     Conflict,
@@ -21,8 +22,6 @@
 
 log = logging.getLogger(__name__)
 
-Fence = Callable[[], list[dict[str, Any]] | None]
-
 
 class Outcome(Enum):
     WON = "won"
@@ -41,11 +40,17 @@
     waits for its turn or for an answer, another leader may have acted in between.
     """
 
-    def __init__(self, client: StateClient, fence: Fence) -> None:
+    def __init__(self, client: StateClient, fence: Callable[[], Fence | None]) -> None:
+        """``fence``: the present right, or None without one."""
         self._client = client
         self._fence = fence
         self._lock = asyncio.Lock()
 
+    async def between_claims(self, work: Callable[[], Awaitable[bool]]) -> bool:
+        """Do something that changes the fence while no claim is under way."""
+        async with self._lock:
+            return await work()
+
     async def claim(
         self,
         ops: list[dict[str, Any]],
@@ -56,13 +61,14 @@
         if marker is not None:
             conditions.append(wire.when(ROOT + marker, 0))
         unsure = False
-        fence = self._fence()
+        asked = self._fence()
         async with self._lock:
             while True:
-                if fence is None or self._fence() != fence:
+                fence = self._fence()
+                if asked is None or fence is None or fence.epoch != asked.epoch:
                     return Outcome.FENCED, ()
                 try:
-                    await self._client.multi(fence + conditions, ops)
+                    await self._client.multi(fence.conditions + conditions, ops)
                     return Outcome.WON, ()
                 except Conflict as conflict:
                     failed = tuple(key.removeprefix(ROOT) for key in conflict.failed)
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -14,12 +14,17 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import Any
 
 import pytest
 
+from petrelthread.leadership import Role
 from tests.test_faults import run
-from tests.world import World, job
+from tests.world import NODES, Fate, World, job
+
+CANCELLED = "wk-000001"
+SETTLED_S = 6.0  # after the cancellation: two seconds of waiting for the answer, two reports, gaps
 
 
 def now() -> float:
@@ -30,43 +35,330 @@
 class HeldStarts:
     """Holds direct commands that start a task of one job; their answers are lost."""
 
-    def __init__(self, world: World, job_id: str, delay_s: float) -> None:
+    def __init__(self, world: World, delay_s: float) -> None:
         """``delay_s``: how long each command is on its way."""
-        self.held: list[float] = []  # when each was sent
-        self._job_id = job_id
+        self.sent_at: list[float] = []
+        self.others: Fate = lambda *request: (0.0, False)  # what becomes of all other requests
         self._delay_s = delay_s
         world.net.fate = self._fate
 
     def _fate(
         self, source: str, address: str, method: str, target: str, body: Any
-    ) -> tuple[float, bool]:
-        if target != "/do":
-            return 0.0, False
-        starts = [order["leg"] for order in body["orders"] if order["verb"] == "launch"]
-        if not any(leg.startswith(self._job_id) for leg in starts):
-            return 0.0, False
-        self.held.append(now())
+    ) -> tuple[float, bool] | None:
+        orders = body["orders"] if target == "/do" else []
+        if not any(o["verb"] == "launch" and o["leg"].startswith(CANCELLED) for o in orders):
+            return self.others(source, address, method, target, body)
+        self.sent_at.append(now())
         return self._delay_s, True
 
     async def sent(self) -> None:
         """Wait until the first one is on its way."""
-        while not self.held:
+        while not self.sent_at:
             await asyncio.sleep(0.01)
 
+    @property
+    def arrived_at(self) -> float:
+        """When the last one arrives."""
+        return self.sent_at[-1] + self._delay_s
+
+
+async def cancel_elsewhere(world: World, leader: str) -> None:
+    """Cancel the job through a controller that does not lead; wait for the confirmation."""
+    while True:
+        for node in NODES:
+            if node != leader and await world.try_to_cancel(CANCELLED, node) == "aborted":
+                return
+        await asyncio.sleep(0.1)
+
+
+async def keep_machines(world: World, until: float) -> None:
+    """Work goes on, so that machines are kept: when one is returned, the command is void."""
+    number = 100
+    while now() < until:
+        number += 1
+        await world.submit(job(f"wk-{number:06d}", 4, crew=("red", "blue")[number % 2]))
+        await asyncio.sleep(4.0)
+
+
+def held_by(world: World) -> int:
+    """How many starts of the cancelled job the leader still counts as possible."""
+    leader = world.leader
+    if leader is None:
+        return 0
+    found = world.nodes[leader].cluster_state.by_id.get(CANCELLED)
+    return 0 if found is None else len(found.live)
+
 
 @pytest.mark.parametrize("seed", range(20))
 def test_a_start_held_past_a_cancellation_is_refused_by_its_machine(seed: int) -> None:
     """As in the incident: the leader lives on, and its answers reach the machine."""
 
     async def scenario(world: World) -> None:
-        delay_s = world.random.uniform(45.0, 300.0)
-        held = HeldStarts(world, "wk-000001", delay_s)
-        await world.submit(job("wk-000001", 2))
+        held = HeldStarts(world, world.random.uniform(45.0, 300.0))
+        leader = await world.led()
+        await world.submit(job(CANCELLED, 2))
+        await held.sent()
+        await cancel_elsewhere(world, leader)
+        busy = asyncio.ensure_future(keep_machines(world, held.arrived_at + 5.0))
+        await asyncio.sleep(SETTLED_S)
+        assert world.leader == leader
+        assert not held_by(world)  # the room and the team's limit are free again
+        await busy
+
+    run(scenario, seed)
+
+
+# ---- meetings with other troubles ----------------------------------------------------------------
+
+
+async def machines_stop_hearing(world: World, held: HeldStarts, leader: str) -> None:
+    """Their reports arrive, the answers don't reach them."""
+    world.net.deaf |= set(world.cloud.machines)
+    await asyncio.sleep(world.random.uniform(5.0, 40.0))
+    world.net.deaf.clear()
+
+
+async def writes_are_lost(world: World, held: HeldStarts, leader: str) -> None:
+    """The leader reads and renews its lease, but nothing that it writes arrives: its token can't
+    be raised."""
+
+    def lost(source: str, address: str, method: str, target: str, body: Any) -> Any:
+        return None if source == leader and target == "/multi" else (0.0, False)
+
+    held.others = lost
+    await asyncio.sleep(world.random.uniform(40.0, 80.0))
+    held.others = lambda *request: (0.0, False)
+
+
+async def writes_are_unanswered(world: World, held: HeldStarts, leader: str) -> None:
+    """Half of all transactions are carried out without an answer, at once or up to 12 s later."""
+
+    def unanswered(source: str, address: str, method: str, target: str, body: Any) -> Any:
+        if target != "/multi" or world.random.random() < 0.5:
+            return 0.0, False
+        return world.random.choice((0.0, world.random.uniform(0.5, 12.0))), True
+
+    held.others = unanswered
+    await asyncio.sleep(world.random.uniform(10.0, 60.0))
+    held.others = lambda *request: (0.0, False)
+
+
+async def refused_then_outage(world: World, held: HeldStarts, leader: str) -> None:
+    """The state service refuses the leader alone, then is down for longer than ``cancel_s``."""
+    world.store.refused.add(leader)
+    await asyncio.sleep(world.random.uniform(0.5, 8.0))
+    world.store.outage(True)
+    world.store.refused.clear()
+    await asyncio.sleep(world.workers.cancel_s + world.random.uniform(5.0, 20.0))
+    world.store.outage(False)
+
+
+async def leader_ends(world: World, held: HeldStarts, leader: str) -> None:
+    """It is back after a while."""
+    world.crash(leader)
+    await asyncio.sleep(world.random.uniform(2.0, 20.0))
+    world.boot(leader)
+
+
+async def leader_is_back_at_once(world: World, held: HeldStarts, leader: str) -> None:
+    """It ends, and is back within a fraction of a second."""
+    world.crash(leader)
+    await asyncio.sleep(world.random.uniform(0.05, 0.9))
+    world.boot(leader)
+
+
+async def leader_is_paused(world: World, held: HeldStarts, leader: str) -> None:
+    """It stands still for less or more than its lease, and goes on."""
+    await world.stand_still(leader, world.random.choice((1.5, 4.0, 15.0, 45.0)))
+
+
+async def leader_is_deposed(world: World, held: HeldStarts, leader: str) -> None:
+    """It loses the state service and its siblings, but not its workers."""
+    others = {"state", *NODES} - {leader}
+    world.net.cut |= {frozenset((leader, other)) for other in others}
+    await asyncio.sleep(world.random.uniform(4.0, 45.0))
+    world.net.cut.clear()
+
+
+async def leader_resigns(world: World, held: HeldStarts, leader: str) -> None:
+    """It gives the lead away, and may be elected again at once."""
+    await world.nodes[leader].election.resign("for the test", 0.0)
+
+
+TROUBLES = [
+    machines_stop_hearing,
+    writes_are_lost,
+    writes_are_unanswered,
+    refused_then_outage,
+    leader_ends,
+    leader_is_back_at_once,
+    leader_is_paused,
+    leader_is_deposed,
+    leader_resigns,
+]
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("trouble", TROUBLES)
+def test_a_late_start_meets_a_cancellation_and_another_trouble(trouble: Any, seed: int) -> None:
+    """Delays from milliseconds to five minutes; the trouble begins around the raise of the token"""
+
+    async def scenario(world: World) -> None:
+        delay_s = math.exp(world.random.uniform(math.log(0.005), math.log(300.0)))
+        held = HeldStarts(world, max(delay_s, world.random.choice((0.0, 45.0))))
+        leader = await world.led()
+        await world.submit(job(CANCELLED, 3))
         await held.sent()
-        assert await world.cancel("wk-000001") == "aborted"
-        # Work goes on, so that the machine is kept: when it is returned, the command is void.
-        while now() < held.held[-1] + delay_s + 5.0:
-            await world.submit(job(f"wk-{world.random.randrange(10**6):06d}", 4))
-            await asyncio.sleep(4.0)
+        await asyncio.sleep(world.random.uniform(0.0, 2.2))
+        await cancel_elsewhere(world, leader)
+        busy = asyncio.ensure_future(keep_machines(world, max(now(), held.arrived_at) + 5.0))
+        await asyncio.sleep(world.random.uniform(0.0, 4.0))
+        await trouble(world, held, leader)
+        await busy
 
     run(scenario, seed)
+
+
+@pytest.mark.parametrize("delay_s", [38.0, 50.0, 65.0])
+def test_a_machine_is_not_answered_while_the_token_cannot_be_raised(delay_s: float) -> None:
+    """Renewals and reads go through, writes don't: the machine's lease has to end in time."""
+
+    async def scenario(world: World) -> None:
+        held = HeldStarts(world, delay_s)
+        leader = await world.led()
+        await world.submit(job(CANCELLED, 2))
+        await held.sent()
+        busy = asyncio.ensure_future(keep_machines(world, held.arrived_at + 5.0))
+
+        def lost(source: str, address: str, method: str, target: str, body: Any) -> Any:
+            return None if source == leader and target == "/multi" else (0.0, False)
+
+        held.others = lost
+        await cancel_elsewhere(world, leader)
+        while now() < held.arrived_at:
+            await asyncio.sleep(0.5)
+            election = world.nodes[leader].election
+            assert election.role is Role.LEADING and election.token == election.epoch
+        held.others = lambda *request: (0.0, False)
+        await busy
+
+    run(scenario)
+
+
+def test_a_raised_token_is_written_before_it_is_shown_and_a_successor_is_above_it() -> None:
+    async def scenario(world: World) -> None:
+        await world.submit(job("wk-000002", 2))
+        await world.running(2)
+        leader = await world.led()
+        node = world.nodes[leader]
+        for _ in range(3):
+            before = node.election.token
+            assert await node.election.raise_token()
+            stored = [value for key, value in world.store.puts if key == "pt/epoch"]
+            assert stored[-1] == node.election.token == node.fleet.token == before + 1
+        assert node.election.epoch == before - 2  # records are still named after the election
+        await asyncio.sleep(3.0)
+        machines = [machine["worker"] for machine in world.cloud.machines.values()]
+        assert {worker.token for worker in machines if worker.up} == {before + 1}
+        world.crash(leader)
+        new = world.nodes[await world.led()].election
+        assert new.epoch > before + 1
+        await world.until_over(60.0)
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("late_s", [0.0, 2.0, 7.0])
+def test_a_raise_without_an_answer_is_adopted_when_it_is_read(late_s: float) -> None:
+    """Siblings may have read it before the leader has; that is no newer leader."""
+
+    async def scenario(world: World) -> None:
+        await world.submit(job("wk-000002", 2))
+        leader = await world.led()
+        election = world.nodes[leader].election
+        lost = 0
+
+        def fate(source: str, address: str, method: str, target: str, body: Any) -> Any:
+            nonlocal lost
+            raises = target == "/multi" and any(op.get("put") == "pt/epoch" for op in body["apply"])
+            if source == leader and raises and not lost:
+                lost += 1
+                return late_s, True
+            return 0.0, False
+
+        world.net.fate = fate
+        before = election.token
+        assert await election.raise_token()
+        assert lost and election.token == before + 1
+        await asyncio.sleep(late_s + 3.0)
+        assert election.role is Role.LEADING and world.leader == leader
+        assert election.token == before + 1
+        await world.until_over(60.0)
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("raised_after_s", [0.0, 0.0005])
+def test_a_command_under_way_when_the_token_is_raised_is_sent_again(raised_after_s: float) -> None:
+    """Its machine refuses it, which is an answer: nothing waits for it."""
+
+    async def scenario(world: World) -> None:
+        leader = await world.led()
+        node = world.nodes[leader]
+        world.run_s = 30.0
+        refused = 0
+
+        def fate(source: str, address: str, method: str, target: str, body: Any) -> Any:
+            nonlocal refused
+            starts = target == "/do" and body["orders"]
+            if starts and body["baton"] < node.election.epoch + 1:
+                refused += 1
+                return 1.5, False  # longer than it takes to raise the token and to report
+            return 0.0, False
+
+        await world.submit(job("wk-000002", 4, guess_s=30.0))
+        await world.running(4)
+        world.net.fate = fate
+        await world.submit(job("wk-000003", 2, guess_s=30.0))
+        while not refused:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(raised_after_s)
+        sent_at = now()
+        assert await node.election.raise_token()
+        while sum(leg.startswith("wk-000003") for leg, on in world.judge.on.items() if on) < 2:
+            await asyncio.sleep(0.1)
+            assert now() < sent_at + 2.75  # 1.5 s on its way, 1 s to fetch the image
+        assert not node.fleet.uncertain.count()
+        await world.until_over(90.0)
+
+    run(scenario)
+
+
+def test_a_wave_of_unanswered_commands_raises_the_token_at_most_once_a_gap() -> None:
+    """Machines hang one after the other for a minute, while jobs are cancelled all the time."""
+
+    async def scenario(world: World) -> None:
+        held = HeldStarts(world, 1000.0)
+        leader = await world.led()
+        node = world.nodes[leader]
+
+        def all_lost(source: str, address: str, method: str, target: str, body: Any) -> Any:
+            return None if target == "/do" and body["orders"] else (0.0, False)
+
+        await world.submit(job("wk-000002", 1))
+        await world.running(1)
+        held.others = all_lost
+        before, since = node.election.token, now()
+        for n in range(200, 230):
+            await world.submit(job(f"wk-{n:06d}", 3, crew=("red", "blue", "guest")[n % 3]))
+            await asyncio.sleep(world.random.uniform(0.2, 2.0))
+            await world.try_to_cancel(f"wk-{n:06d}", leader)
+            await asyncio.sleep(world.random.uniform(0.2, 2.0))
+        raises = node.election.token - before
+        gap_s = node.fleet.uncertain.raise_gap_s
+        assert world.leader == leader
+        assert 2 <= raises <= (now() - since) / gap_s + 1
+        held.others = lambda *request: (0.0, False)
+        await world.until_over(120.0)
+
+    run(scenario)
