Soak: long-tailed lateness, held commands, cancellations at once; uncertain starts in status and log

Need: no stand-in held a message for longer than 15 s, so nothing could outlast cancel_s; and neither status nor log said which starts were open.

Change: late commands, transactions and reports are drawn from a Pareto distribution up to 300 s; a new fault holds direct commands to some machines that report and are answered; two fifths of the cancelled jobs are cancelled within 2 s of their acceptance. status shows the token and the starts without an answer, the load line their number and age; a start beyond the bound is a trouble.

--- a/petrelthread/admin/troubles.py
+++ b/petrelthread/admin/troubles.py
@@ -47,6 +47,11 @@
         )
     if not election.leading:
         return out
+    if node.fleet.uncertain.beyond_bound:
+        out["late starts"] = (
+            f"{node.fleet.uncertain.beyond_bound} starts of jobs that are over were still possible"
+            " after the time that a cancellation has"
+        )
     late = node.provisioner.late_boots(now)
     if late:
         out["boots"] = f"{late} machines are late in booting and count for nothing until they come"
--- a/petrelthread/admin/views.py
+++ b/petrelthread/admin/views.py
@@ -43,6 +43,7 @@
         "role": election.role.value,
         "leader": election.home,
         "epoch": election.known_epoch,
+        "token": election.token if election.acting else None,
         "state_service": now - node.watch_cache.last_ok < STATE_S,
         "siblings": siblings,
         "zones": zones(node),
@@ -114,6 +115,16 @@
                 awaited = "a list taken well after, since it is no longer wanted"
             age_s = round(now - op.unknown_at, 1)
             out.append({"operation": op.key, "age_s": age_s, "awaits": awaited})
+    uncertain = node.fleet.uncertain
+    if uncertain.count():
+        out.append(
+            {
+                "operation": f"{uncertain.count()} direct starts without an answer",
+                "age_s": round(uncertain.oldest_s(now), 1),
+                "awaits": f"their machines to show a token above {node.election.token - 1},"
+                " or a later session",
+            }
+        )
     for index, there in node.cluster_state.on_machine.items():
         unknown = [a for a in there.values() if a.state is Op.UNKNOWN]
         machine = node.fleet.machines.get(index)
--- a/petrelthread/controller.py
+++ b/petrelthread/controller.py
@@ -511,7 +511,15 @@
             self._set_write_rate(now)
             if now - told_at > LOAD_EVERY_S:
                 if self.election.leading and log.isEnabledFor(logging.DEBUG):
-                    log.debug("load: %s; late by %.2f s at most", self.view.load(), late_s)
+                    log.debug(
+                        "load: %s; late by %.2f s at most; token %d, %d starts uncertain,"
+                        " the oldest for %.1f s",
+                        self.view.load(),
+                        late_s,
+                        self.election.token,
+                        self.fleet.uncertain.count(),
+                        self.fleet.uncertain.oldest_s(now),
+                    )
                 late_s, told_at = 0.0, now
             if self.watch_cache.loaded.is_set() and now - self.watch_cache.last_ok > 1.0:
                 await self.watch_cache.fresh()
--- a/petrelthread/emulator/faults.py
+++ b/petrelthread/emulator/faults.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import NamedTuple
 
 STATE, CLOUD = "state", "cloud"  # names of the two services on links
-LATE_WRITE_S = (1.0, 6.0)  # a late transaction is carried out so much later
-LATE_COMMAND_S = (1.0, 12.0)  # past an election and what the next leader settles
-LATE_REPORT_S = (1.0, 15.0)  # well over a lease, too
+# How late a late message is carried out: half of them within 3 s, one in six past the time that a
+# cancellation has, one in thirty past two minutes.
+LATE_LEAST_S, LATE_MOST_S = 0.8, 300.0
+LATE_TAIL = 0.6  # exponent of the Pareto distribution
 
 
 class FaultKind(Enum):
@@ -32,6 +34,7 @@
     MACHINE_HANGS = "machine-hangs"
     MACHINE_NOT_RECEIVING = "machine-not-receiving"
     MACHINE_NOT_SENDING = "machine-not-sending"
+    COMMANDS_HELD = "commands-held"
     MACHINE_FAULTY = "machine-faulty"
     ZONE_CUT = "zone-cut"
 
@@ -54,6 +57,7 @@
     FaultKind.MACHINE_HANGS: (0.5, 10.0),
     FaultKind.MACHINE_NOT_RECEIVING: (2.0, 12.0),
     FaultKind.MACHINE_NOT_SENDING: (2.0, 12.0),
+    FaultKind.COMMANDS_HELD: (4.0, 40.0),
     FaultKind.MACHINE_FAULTY: (5.0, 15.0),
     FaultKind.ZONE_CUT: (2.0, 12.0),
 }
@@ -113,6 +117,11 @@
 DELIVERED = Fate()
 
 
+def draw_late_s(randomness: random.Random) -> float:
+    """How late a message is, in seconds: long-tailed, up to several minutes."""
+    return min(LATE_MOST_S, LATE_LEAST_S * randomness.paretovariate(LATE_TAIL))
+
+
 @dataclass
 class LinkFaults:
     """What is wrong with the links now. Ends of links are named after controllers and machines."""
@@ -123,6 +132,8 @@
         default_factory=set
     )  # their requests arrive, nothing comes back
     not_sending: set[str] = field(default_factory=set)  # they reach nobody, commands reach them
+    # Machines that report and are answered, while direct commands to them are held until then.
+    commands_held_until: dict[str, float] = field(default_factory=dict)
     late_writes: float = 0.0  # share
     late_commands: float = 0.0
     late_reports: float = 0.0
@@ -135,10 +146,14 @@
         chance = self.randomness.random()
         if destination == STATE and target == "/multi" and chance < self.late_writes:
             late = self.randomness.random() < 0.5
-            delay_s = self.randomness.uniform(*LATE_WRITE_S) if late else 0.0
+            delay_s = draw_late_s(self.randomness) if late else 0.0
+            return Fate(delay_s=delay_s, answer_lost=True)
+        if target == "/do" and destination in self.commands_held_until:
+            now = asyncio.get_running_loop().time()
+            delay_s = max(0.0, self.commands_held_until[destination] - now)
             return Fate(delay_s=delay_s, answer_lost=True)
         if target == "/do" and chance < self.late_commands:
-            return Fate(delay_s=self.randomness.uniform(*LATE_COMMAND_S), answer_lost=True)
+            return Fate(delay_s=draw_late_s(self.randomness), answer_lost=True)
         if source in self.not_receiving or destination in self.not_sending:
             # A machine that can't send still answers on connections that others have opened.
             return Fate(answer_lost=source in self.not_receiving)
@@ -147,7 +162,7 @@
     def copy_delay_s(self, target: str) -> float | None:
         """Whether a copy of the request arrives again, and how much later."""
         if target == "/checkin" and self.randomness.random() < self.late_reports:
-            return self.randomness.uniform(*LATE_REPORT_S)
+            return draw_late_s(self.randomness)
         return None
 
     def heal(self) -> None:
@@ -155,4 +170,5 @@
         self.cut.clear()
         self.not_receiving.clear()
         self.not_sending.clear()
+        self.commands_held_until.clear()
         self.late_writes = self.late_commands = self.late_reports = 0.0
--- a/petrelthread/emulator/injector.py
+++ b/petrelthread/emulator/injector.py
@@ -17,6 +17,7 @@
 LEADER_SHARE = 0.6  # of faults of a controller that strike the leader
 SHARE = 0.4  # of messages that a fault of links strikes
 DYING_MOST = 3  # machines that die at once
+HELD_MOST = 4  # machines to which commands are held at once
 
 Strike = Callable[[Fault], Awaitable[None]]
 
@@ -46,6 +47,7 @@
             FaultKind.MACHINE_FAULTY: self._flag("faulty"),
             FaultKind.MACHINE_NOT_RECEIVING: self._machine_links("not_receiving"),
             FaultKind.MACHINE_NOT_SENDING: self._machine_links("not_sending"),
+            FaultKind.COMMANDS_HELD: self._hold_commands,
             FaultKind.ZONE_CUT: self._zone_cut,
         }
         self._strikes = kinds
@@ -182,6 +184,17 @@
 
         return strike
 
+    async def _hold_commands(self, fault: Fault) -> None:
+        """The way to some machines is broken, the way from them is not."""
+        loop, held_until = asyncio.get_running_loop(), self._world.faults.commands_held_until
+        workers = self._workers()
+        first = int(fault.draw * len(workers))
+        names = [worker.name for worker in workers[first : first + HELD_MOST]]
+        held_until.update(dict.fromkeys(names, loop.time() + fault.lasts_s))
+        await asyncio.sleep(fault.lasts_s)
+        for name in names:
+            held_until.pop(name, None)
+
     async def _zone_cut(self, fault: Fault) -> None:
         zones = sorted({worker.machine["roost"] for worker in self._workers()})
         if not zones:
--- a/petrelthread/emulator/workload.py
+++ b/petrelthread/emulator/workload.py
@@ -11,6 +11,9 @@
 IMAGES = 4
 BACKLOG_AGE_S = (100.0, 260.0)  # the scheduler expects a job to have begun after 150 s
 CANCELLED_SHARE = 0.25
+CANCEL_AFTER_S = (0.0, 20.0)
+AT_ONCE_SHARE = 0.4  # of the cancelled ones: while their first starts are on the way
+AT_ONCE_S = (0.1, 2.0)
 SERVICE_SHARE = 0.12
 RUN_S = (1.0, 10.0)
 SINGLE_ZONE_SHARE = 0.4
@@ -107,6 +110,11 @@
     return PlannedJob(
         spec,
         submit_s,
-        randomness.uniform(0.0, 20.0) if cancel and not service else None,
+        _draw_cancel_s(randomness) if cancel and not service else None,
         randomness.uniform(*RUN_S),
     )
+
+
+def _draw_cancel_s(randomness: random.Random) -> float:
+    at_once = randomness.random() < AT_ONCE_SHARE
+    return randomness.uniform(*(AT_ONCE_S if at_once else CANCEL_AFTER_S))
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -362,3 +362,27 @@
         await world.until_over(120.0)
 
     run(scenario)
+
+
+def test_what_siblings_tell_of_an_own_raise_deposes_nobody() -> None:
+    """The write's answer and the leader's own reading are lost; its siblings have read it."""
+
+    async def scenario(world: World) -> None:
+        await world.submit(job("wk-000002", 2))
+        leader = await world.led()
+        election = world.nodes[leader].election
+        raised_at = now()
+
+        def fate(source: str, address: str, method: str, target: str, body: Any) -> Any:
+            blind = source == leader and now() < raised_at + 2.0
+            return 0.0, blind and target.startswith(("/multi", "/watch"))
+
+        world.net.fate = fate
+        before = election.token
+        assert await election.raise_token()
+        assert now() > raised_at + 1.5
+        assert election.known_epoch == election.token == before + 1
+        assert election.role is Role.LEADING
+        await world.until_over(60.0)
+
+    run(scenario)
