Reports of workers are answered in a module of their own

Change: CheckIns takes the reports in and answers them, with the count of recent ones that heartbeats and the judgement of hearing use; named constants in place of numbers that stood twice. No change of behaviour.

--- a/petrelthread/controller.py
+++ b/petrelthread/controller.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 import random
-from collections import deque
 from typing import Any
 
 import msgspec
@@ -15,7 +14,8 @@
 from petrelthread.admin.api import PREFIX as ADMIN_PREFIX
 from petrelthread.admin.options import rental_options
 from petrelthread.admin.troubles import Troubles, now_wrong
-from petrelthread.fleet import Commands, Dispatch, Fleet, SilenceWatch, ZoneWatch
+from petrelthread.fleet import CheckIns, Commands, Dispatch, Fleet, SilenceWatch, ZoneWatch
+from petrelthread.fleet.silence import FIND_LEADER_S
 from petrelthread.http import Response, TurnGate, answer
 from petrelthread.http.server import refusal
 from petrelthread.intake import Intake
@@ -115,6 +115,7 @@
         )
         self.silence = SilenceWatch(self.fleet)
         self.commands = Commands(self.fleet)
+        self.check_ins = CheckIns(settings.host_name, self.election, self.fleet, self.commands)
         self.dispatch = Dispatch(self.fleet, self.silence, commands or request, commands_at_once)
         self.dispatch.may_start = lambda: self.election.starting
         self.scheduler = Scheduler(
@@ -162,7 +163,6 @@
         self.gate = TurnGate()  # of requests to the public address
         self.troubles = Troubles()
         self.admin = Admin(self, request)
-        self._reports: deque[float] = deque()
         self._silent_s = 2.5 * workers.report_s + 4.0
 
     def _cache_gb(self, kind: int) -> float:
@@ -240,7 +240,7 @@
         self.scheduler.take_over(epoch)
         self.provisioner.take_over(now)
         self.zone_watch.clear()
-        self._reports.clear()
+        self.check_ins.forget_recent()
         unknown = sum(len(there) for there in self.cluster_state.on_machine.values())
         log.info(
             "take-over with epoch %d: state read up to revision %d (%.2f s ago);"
@@ -259,7 +259,7 @@
         self.election.woke()
         self.fleet.resumed_at = now
         self.heartbeats.heard.clear()
-        self._reports.clear()
+        self.check_ins.forget_recent()
 
     def _heartbeat(self) -> Heartbeat:
         now = asyncio.get_running_loop().time()
@@ -268,7 +268,7 @@
             self.election.known_epoch,
             self.election.leading,
             now - self.watch_cache.last_ok < READY_S,
-            self._recent_reports(now),
+            self.check_ins.recent(now),
             self.settings.zone,
             asks=self.write_quota.base if self._writes.short(now) and self._may_ask(now) else 0.0,
         )
@@ -317,19 +317,13 @@
         self.write_quota.extra = min(rates.unused, idle)
         self._writes.set_rate(self.write_quota.rate(now), now)
 
-    def _recent_reports(self, now: float) -> int:
-        window = 2 * self.settings.cluster.workers.report_s
-        while self._reports and now - self._reports[0] > window:
-            self._reports.popleft()
-        return len(self._reports)
-
     # ---- requests --------------------------------------------------------------------------------
 
     async def handle(self, method: str, target: str, body: bytes) -> Response:
         self.pause_detector.look(asyncio.get_running_loop().time())
         path = target.partition("?")[0]
         if path == wire.CHECKIN_PATH:
-            return self._checkin(body) if method == "POST" else refusal(405, "use POST")
+            return self.check_ins.handle(body) if method == "POST" else refusal(405, "use POST")
         if path == wire.JOBS_PATH or path.startswith(wire.JOBS_PATH + "/"):
             return await self.intake.handle(method, path, body)
         if path == wire.READY_PATH:
@@ -356,49 +350,6 @@
             return refusal(503, "state service unreachable", 1)
         return answer(200, {"ready": True})
 
-    def _checkin(self, body: bytes) -> Response:
-        try:
-            report = wire.parse_report(body)
-        except wire.BadRequest as error:
-            return refusal(400, str(error))
-        now = asyncio.get_running_loop().time()
-        self._reports.append(now)
-        self._recent_reports(now)
-        election = self.election
-        election.saw_epoch(report.baton)
-        if not election.acting:
-            home = election.home
-            if home == self.settings.host_name:
-                home = None
-            return answer(421, wire.go_to(home))
-        if self._lease_must_end(report, now):
-            return refusal(503, "a late start may still reach this machine: its lease must end")
-        if election.role is Role.TAKING_OVER:
-            return answer(200, wire.checkin_answer(election.token, self.commands.halts(report)))
-        machine = self.fleet.on_report(report, now, answered=True)
-        if not election.leading:
-            orders = self.commands.halts(report)
-        elif machine is not None:
-            orders = self.commands.for_report(machine, report, now, election.starting)
-        else:
-            orders = []
-        return answer(200, wire.checkin_answer(election.token, orders))
-
-    def _lease_must_end(self, report: wire.Report, now: float) -> bool:
-        """Whether an answer might keep a start executable that was cancelled too long ago."""
-        uncertain, token = self.fleet.uncertain, self.election.token
-        machine = self.fleet.known(report.perch)
-        if machine is None or not uncertain.any_on(machine.index):
-            return False
-        if not uncertain.may_answer(machine.index, token, now):
-            # What it shows is evidence all the same: a later session, or a higher token.
-            self.fleet.on_report(report, now, answered=False)
-            if not uncertain.may_answer(machine.index, token, now):
-                log.info("machine %s is not answered: a start may come late", machine.name)
-                return True
-        uncertain.note_answer(machine.index, token, now)
-        return False
-
     # ---- loops -----------------------------------------------------------------------------------
 
     async def run(self) -> None:
@@ -553,13 +504,10 @@
     async def _judge_hearing(self, now: float) -> None:
         """A leader that no worker reaches, while its siblings hear them, gives the lead away."""
         election = self.election
-        window = 2 * self.settings.cluster.workers.report_s
-        if (
-            not election.leading
-            or now - max(election.elected_at, self.pause_detector.since) < window + 4.0
-        ):
+        begun = max(election.elected_at, self.pause_detector.since)
+        if not election.leading or now - begun < self.check_ins.window_s + FIND_LEADER_S:
             return
-        if self._recent_reports(now) == 0:
+        if self.check_ins.recent(now) == 0:
             heard = sum(heartbeat.workers for heartbeat in self.heartbeats.fresh(3.0))
             if heard >= 2:
                 log.info("no worker reaches this node, siblings hear %d reports", heard)
--- a/petrelthread/fleet/__init__.py
+++ b/petrelthread/fleet/__init__.py
@@ -1,5 +1,6 @@
 """The machines: what is known of them, what they are told, and when they count as lost."""
 
+from petrelthread.fleet.check_ins import CheckIns
 from petrelthread.fleet.commands import Commands
 from petrelthread.fleet.dispatch import Dispatch
 from petrelthread.fleet.machine import Health, Machine
@@ -7,4 +8,13 @@
 from petrelthread.fleet.table import Fleet
 from petrelthread.fleet.zones import ZoneWatch
 
-__all__ = ["Commands", "Dispatch", "Fleet", "Health", "Machine", "SilenceWatch", "ZoneWatch"]
+__all__ = [
+    "CheckIns",
+    "Commands",
+    "Dispatch",
+    "Fleet",
+    "Health",
+    "Machine",
+    "SilenceWatch",
+    "ZoneWatch",
+]
--- /dev/null
+++ b/petrelthread/fleet/check_ins.py
@@ -0,0 +1,89 @@
+"""Workers' reports at ``POST /checkin``: who may answer them, and what the answer says."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import deque
+
+from petrelthread import wire
+from petrelthread.fleet.commands import Commands
+from petrelthread.fleet.table import Fleet
+from petrelthread.http import Response, answer
+from petrelthread.http.server import refusal
+from petrelthread.leadership import Election, Role
+
+log = logging.getLogger(__name__)
+
+WINDOW_REPORTS = 2  # report intervals that count as lately
+
+
+class CheckIns:
+    """Takes reports in and answers them, as far as this controller has the right to."""
+
+    def __init__(self, node: str, election: Election, fleet: Fleet, commands: Commands) -> None:
+        """``node``: the name of this controller."""
+        self._node = node
+        self._election = election
+        self._fleet = fleet
+        self._commands = commands
+        self._came_at: deque[float] = deque()
+
+    @property
+    def window_s(self) -> float:
+        """For how long a report counts as a recent one, in seconds."""
+        return WINDOW_REPORTS * self._fleet.report_s
+
+    def recent(self, now: float) -> int:
+        """How many reports have come lately, whatever became of them."""
+        while self._came_at and now - self._came_at[0] > self.window_s:
+            self._came_at.popleft()
+        return len(self._came_at)
+
+    def forget_recent(self) -> None:
+        """Count anew: what came before says nothing about what comes from now on."""
+        self._came_at.clear()
+
+    def handle(self, body: bytes) -> Response:
+        """Answer one report. A malformed one gets 400 and changes nothing."""
+        try:
+            report = wire.parse_report(body)
+        except wire.BadRequest as error:
+            return refusal(400, str(error))
+        now = asyncio.get_running_loop().time()
+        self._came_at.append(now)
+        self.recent(now)
+        election = self._election
+        election.saw_epoch(report.baton)
+        if not election.acting:
+            home = election.home
+            if home == self._node:
+                home = None
+            return answer(421, wire.go_to(home))
+        if self._lease_must_end(report, now):
+            return refusal(503, "a late start may still reach this machine: its lease must end")
+        if election.role is Role.TAKING_OVER:
+            return answer(200, wire.checkin_answer(election.token, self._commands.halts(report)))
+        machine = self._fleet.on_report(report, now, answered=True)
+        if not election.leading:
+            orders = self._commands.halts(report)
+        elif machine is not None:
+            orders = self._commands.for_report(machine, report, now, election.starting)
+        else:
+            orders = []
+        return answer(200, wire.checkin_answer(election.token, orders))
+
+    def _lease_must_end(self, report: wire.Report, now: float) -> bool:
+        """Whether an answer might keep a start executable that was cancelled too long ago."""
+        uncertain, token = self._fleet.uncertain, self._election.token
+        machine = self._fleet.known(report.perch)
+        if machine is None or not uncertain.any_on(machine.index):
+            return False
+        if not uncertain.may_answer(machine.index, token, now):
+            # What it shows is evidence all the same: a later session, or a higher token.
+            self._fleet.on_report(report, now, answered=False)
+            if not uncertain.may_answer(machine.index, token, now):
+                log.info("machine %s is not answered: a start may come late", machine.name)
+                return True
+        uncertain.note_answer(machine.index, token, now)
+        return False
