Jobs that fail and machines on which they fail in a module of their own

Change: JobFailures applies the judgement of Failures to jobs and machines; the two constants of waiting and the record's length named; the test for all waiting tasks having failed is a function. No change of behaviour.

--- a/petrelthread/admin/troubles.py
+++ b/petrelthread/admin/troubles.py
@@ -60,7 +60,9 @@
     )
     if deaf:
         out["deaf"] = f"{deaf} machines report but do not hear us"
-    suspects = [job.id for job in node.cluster_state.open.values() if node.fleet.suspect(job)]
+    suspects = [
+        job.id for job in node.cluster_state.open.values() if node.fleet.job_failures.suspect(job)
+    ]
     if suspects:
         shown = ", ".join(suspects[:5]) + (", ..." if len(suspects) > 5 else "")
         out["suspects"] = f"{len(suspects)} jobs fail everywhere until they are cancelled: {shown}"
--- a/petrelthread/admin/why.py
+++ b/petrelthread/admin/why.py
@@ -82,9 +82,9 @@
 
 
 def _failing(node: Controller, job: Job, head: str, now: float) -> str:
-    failed_on = len(node.fleet.failures.failed_on(job.index))
+    failed_on = len(node.fleet.job_failures.failed_on(job))
     again = f"tried again in {job.not_before - now:.0f} s"
-    if node.fleet.suspect(job):
+    if node.fleet.job_failures.suspect(job):
         return (
             f"{head}: it fails everywhere, on {failed_on} machines since"
             f" {now - job.suspect_since:.0f} s, and has never completed a task; one task is"
--- /dev/null
+++ b/petrelthread/fleet/job_failures.py
@@ -0,0 +1,118 @@
+"""Jobs that fail, and machines on which jobs fail: what follows for each of them."""
+
+from __future__ import annotations
+
+import logging
+
+from petrelthread.fleet.failures import SUSPECT_ON, Failures, Trust
+from petrelthread.fleet.machine import Machine
+from petrelthread.ledger import ClusterState, Job
+
+log = logging.getLogger(__name__)
+
+MACHINES_RECORDED = 8  # named in the record of a job that fails everywhere
+BACKOFF_S = 5.0  # until a failing job is tried again, doubled each time
+BACKOFF_MOST_S = 60.0
+
+
+class JobFailures:
+    """Applies the judgement of ``Failures`` to the jobs and machines of one leader."""
+
+    def __init__(self, cluster_state: ClusterState, machines: dict[int, Machine]) -> None:
+        """``machines``: by index, all that the leader knows."""
+        self._cluster_state = cluster_state
+        self._machines = machines
+        self._failures = Failures()
+
+    def take_over(self, now: float) -> None:
+        """Begin anew with what the records tell. Judged from scratch by each leader, a job that
+        fails everywhere started all its tasks again each time."""
+        self._failures.clear()
+        for job in self._cluster_state.open.values():
+            if job.done:
+                self._failures.prove(job.index)
+            elif job.id in self._cluster_state.suspects:
+                names = self._cluster_state.names.machines
+                on = [names.index(name) for name in self._cluster_state.suspects[job.id]]
+                self._failures.restore(job.index, on)
+                job.suspect_since = now
+
+    def suspect(self, job: Job) -> bool:
+        """It fails on every machine: one task at a time is tried, and nothing waits for it."""
+        return self._failures.trust(job.index) is Trust.SUSPECT
+
+    def failed_on(self, job: Job) -> set[int]:
+        """The machines on which it has failed, by index."""
+        return self._failures.failed_on(job.index)
+
+    def new_suspects(self) -> dict[str, list[str]]:
+        """Jobs that fail everywhere and are not on record as such, with machines that show it."""
+        name = self._cluster_state.names.machines.name
+        return {
+            job.id: [name(index) for index in sorted(self.failed_on(job))[:MACHINES_RECORDED]]
+            for job in map(self._cluster_state.jobs.__getitem__, self._failures.unproven())
+            if job.final is None
+            and self.suspect(job)
+            and job.id not in self._cluster_state.suspects
+        }
+
+    def cleared_suspects(self) -> list[str]:
+        """Jobs on record as failing everywhere that no longer count as such."""
+        out = []
+        for job_id in self._cluster_state.suspects:
+            job = self._cluster_state.by_id.get(job_id)
+            if job is not None and (job.final is not None or not self.suspect(job)):
+                out.append(job_id)
+        return out
+
+    def drop_finished(self) -> None:
+        """Jobs that are over are judged no more."""
+        for job in self._failures.unproven():
+            if self._cluster_state.jobs[job].final is not None:
+                self._failures.over(job)
+
+    def completed(self, machine: Machine, job: Job, task: int) -> None:
+        """A task has completed, or a replica has run for long enough to show that it can."""
+        was_suspect = self.suspect(job)
+        for index in self._failures.completed(job.index, machine.index):
+            self._mark_faulty(index)
+        job.failing.discard(task)
+        if job.backoff_s:
+            job.backoff_s = job.not_before = 0.0
+        if was_suspect:
+            log.info("job %s completes tasks after all", job.id)
+
+    def failed(self, machine: Machine, job: Job, task: int, now: float) -> None:
+        """A task has ended with an error."""
+        log.info("task %d of %s failed on %s", task, job.id, machine.name)
+        job.failing.add(task)
+        was_suspect = self.suspect(job)
+        for index in self._failures.failed(job.index, machine.index):
+            self._mark_faulty(index)
+        suspect = self.suspect(job)
+        if suspect and not was_suspect:
+            job.suspect_since = now
+            log.warning(
+                "job %s fails everywhere, on %d machines, and has never completed a task:"
+                " one task at a time is tried until it does or is cancelled",
+                job.id,
+                len(self.failed_on(job)),
+            )
+        if now < job.not_before:
+            return  # a batch that fails together counts once
+        if suspect or self._all_that_waits_has_failed(job):
+            job.backoff_s = min(BACKOFF_MOST_S, max(BACKOFF_S, job.backoff_s * 2))
+            job.not_before = now + job.backoff_s
+
+    def _all_that_waits_has_failed(self, job: Job) -> bool:
+        if job.service and self._failures.trust(job.index) is Trust.PROVEN:
+            return False
+        return len(self.failed_on(job)) >= SUSPECT_ON and all(
+            other in job.failing for other in job.pending_tasks()
+        )
+
+    def _mark_faulty(self, index: int) -> None:
+        machine = self._machines.get(index)
+        if machine is not None and not machine.fault:
+            machine.fault = self._failures.faulty[index]
+            log.info("machine %s is faulty: %s", machine.name, machine.fault)
--- a/petrelthread/fleet/silence.py
+++ b/petrelthread/fleet/silence.py
@@ -79,9 +79,7 @@
 
     def tick(self, now: float, silent_s: float) -> None:
         """Notice machines that have been silent for too long, and leases that have run out."""
-        for job in self._fleet.failures.unproven():
-            if self._fleet.cluster_state.jobs[job].final is not None:
-                self._fleet.failures.over(job)
+        self._fleet.job_failures.drop_finished()
         heard_after = now - silent_s
         not_receiving: list[Machine] = []
         up = 0
--- a/petrelthread/fleet/table.py
+++ b/petrelthread/fleet/table.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Collection
 
 from petrelthread import wire
-from petrelthread.fleet.failures import SUSPECT_ON, Failures, Trust
+from petrelthread.fleet.job_failures import JobFailures
 from petrelthread.fleet.machine import Health, Machine
 from petrelthread.fleet.uncertain_starts import StartKey, UncertainStarts, key_of
 from petrelthread.ledger import FINISHED, PENDING, Attempt, ClusterState, Job, Op, epoch_of, move
@@ -17,10 +17,7 @@
 NO_EPOCH = -1  # of a controller that does not lead
 BEFORE_RUNNING = ("", wire.FETCHING, wire.GATHERING)
 IGNORED_MOST = 3  # reports in a row without what they were told to start: it hears nothing
-SHOWN_ON = 8  # machines named in the record of a job that fails everywhere
 REPLICA_PROVES_S = 8.0  # a replica never completes: one that has run so long shows that it can
-JOB_BACKOFF_S = 5.0
-JOB_BACKOFF_MOST_S = 60.0
 
 
 class Fleet:
@@ -35,7 +32,7 @@
         self.hold_over_s = hold_over_s
         self.machines: dict[int, Machine] = {}
         self.noticed: dict[int, Machine] = {}  # machines that the cloud has said it will take
-        self.failures = Failures()
+        self.job_failures = JobFailures(cluster_state, self.machines)
         self.finished: dict[int, set[int]] = {}  # done, not yet durable: job to tasks
         self.uncertain = UncertainStarts(lease_s, hold_over_s)
         self.epoch = 0  # with which this controller was elected
@@ -86,16 +83,7 @@
         self.epoch = self.token = epoch
         self.elected_at = now
         self.finished.clear()  # workers report again what is not durable
-        self.failures.clear()
-        for job in self.cluster_state.open.values():
-            if job.done:
-                self.failures.prove(job.index)
-            elif job.id in self.cluster_state.suspects:
-                # Judged anew by each leader, such a job started all its tasks again each time.
-                names = self.cluster_state.names.machines
-                on = [names.index(name) for name in self.cluster_state.suspects[job.id]]
-                self.failures.restore(job.index, on)
-                job.suspect_since = now
+        self.job_failures.take_over(now)
         for index in self.cluster_state.on_machine:
             self.machine(self.cluster_state.names.machines.name(index), now)
         for machine in list(self.machines.values()):
@@ -314,7 +302,7 @@
         """An attempt that the cluster state does not hold for this machine. True if it now does."""
         if leg.status == wire.ENDED:
             if leg.cause == wire.CAUSE_DONE and not job.service:
-                self._completed(machine, job, task)
+                self.job_failures.completed(machine, job, task)
                 self._finish(job, task)
             return False
         if job.final is None and job.states[task] == PENDING:
@@ -346,7 +334,7 @@
         if job.service and leg.status == wire.RUNNING and not attempt.proven_stable:
             attempt.proven_stable = 0 < attempt.running_at < now - REPLICA_PROVES_S
             if attempt.proven_stable:
-                self._completed(machine, job, attempt.task)
+                self.job_failures.completed(machine, job, attempt.task)
         if leg.status in (wire.RUNNING, wire.FLUSHING) and before in BEFORE_RUNNING:
             attempt.running_at = now
             if not job.first_start_at:
@@ -356,7 +344,7 @@
             return
         self.on_change()
         if leg.cause == wire.CAUSE_DONE and not job.service:
-            self._completed(machine, job, attempt.task)
+            self.job_failures.completed(machine, job, attempt.task)
             machine.use_image(job.image, job.size_gb, self.cache_gb(machine.type))
             if attempt.running_at:
                 before_s = job.progress.pop(attempt.task, 0.0)
@@ -367,7 +355,7 @@
                 self.cluster_state.release(attempt, done=True)
             return
         if leg.cause == wire.CAUSE_ERROR:
-            self._failed(machine, job, attempt.task, now)
+            self.job_failures.failed(machine, job, attempt.task, now)
         elif leg.cause in (wire.CAUSE_FULL, wire.CAUSE_IN_USE, wire.CAUSE_UNKNOWN):
             log.info("machine %s refused %s/%d: %s", machine.name, job.id, attempt.task, leg.cause)
             job.not_before = max(job.not_before, now + 1.0)
@@ -382,68 +370,6 @@
         finished = self.finished.get(job.index, ())
         return job.pending - sum(job.states[task] == PENDING for task in finished)
 
-    def suspect(self, job: Job) -> bool:
-        """It fails on every machine: one task at a time is tried, and nothing waits for it."""
-        return self.failures.trust(job.index) is Trust.SUSPECT
-
-    def new_suspects(self) -> dict[str, list[str]]:
-        """Jobs that fail everywhere and are not on record as such, with machines that show it."""
-        name = self.cluster_state.names.machines.name
-        return {
-            job.id: [name(index) for index in sorted(self.failures.failed_on(job.index))[:SHOWN_ON]]
-            for job in map(self.cluster_state.jobs.__getitem__, self.failures.unproven())
-            if job.final is None and self.suspect(job) and job.id not in self.cluster_state.suspects
-        }
-
-    def cleared_suspects(self) -> list[str]:
-        out = []
-        for job_id in self.cluster_state.suspects:
-            job = self.cluster_state.by_id.get(job_id)
-            if job is not None and (job.final is not None or not self.suspect(job)):
-                out.append(job_id)
-        return out
-
-    def _completed(self, machine: Machine, job: Job, task: int) -> None:
-        was_suspect = self.suspect(job)
-        for index in self.failures.completed(job.index, machine.index):
-            self._at_fault(index)
-        job.failing.discard(task)
-        if job.backoff_s:
-            job.backoff_s = job.not_before = 0.0
-        if was_suspect:
-            log.info("job %s completes tasks after all", job.id)
-
-    def _failed(self, machine: Machine, job: Job, task: int, now: float) -> None:
-        log.info("task %d of %s failed on %s", task, job.id, machine.name)
-        job.failing.add(task)
-        was_suspect = self.suspect(job)
-        for index in self.failures.failed(job.index, machine.index):
-            self._at_fault(index)
-        suspect = self.suspect(job)
-        if suspect and not was_suspect:
-            job.suspect_since = now
-            log.warning(
-                "job %s fails everywhere, on %d machines, and has never completed a task:"
-                " one task at a time is tried until it does or is cancelled",
-                job.id,
-                len(self.failures.failed_on(job.index)),
-            )
-        if now < job.not_before:
-            return  # a batch that fails together counts once
-        alone = len(self.failures.failed_on(job.index)) >= SUSPECT_ON and all(
-            other in job.failing for other in job.pending_tasks()
-        )
-        proven = job.service and self.failures.trust(job.index) is Trust.PROVEN
-        if suspect or (alone and not proven):
-            job.backoff_s = min(JOB_BACKOFF_MOST_S, max(JOB_BACKOFF_S, job.backoff_s * 2))
-            job.not_before = now + job.backoff_s
-
-    def _at_fault(self, index: int) -> None:
-        machine = self.machines.get(index)
-        if machine is not None and not machine.fault:
-            machine.fault = self.failures.faulty[index]
-            log.info("machine %s is faulty: %s", machine.name, machine.fault)
-
     def _not_shown(
         self, machine: Machine, report: wire.Report, attempt: Attempt, now: float
     ) -> None:
--- a/petrelthread/placement/round_claim.py
+++ b/petrelthread/placement/round_claim.py
@@ -154,7 +154,7 @@
         return set() if alone else beyond & gangs
 
     def _add_suspects(self, claim: RoundClaim) -> None:
-        suspects = self._fleet.new_suspects()
+        suspects = self._fleet.job_failures.new_suspects()
         for job_id in list(suspects)[: max(0, self._ops_most - len(claim.ops))]:
             claim.suspects[job_id] = suspects[job_id]
             claim.ops.append(wire.put(f"{ROOT}s/{job_id}", suspects[job_id]))
@@ -166,7 +166,9 @@
         dead = [f"r/{n}" for n in cluster_state.dead_rounds()] + [
             f"d/{n}" for n in cluster_state.dead_done_records()
         ]
-        dead += [*self._dead_keys] + [f"s/{job_id}" for job_id in self._fleet.cleared_suspects()]
+        dead += [*self._dead_keys] + [
+            f"s/{job_id}" for job_id in self._fleet.job_failures.cleared_suspects()
+        ]
         written = len(claim.ops)
         room = min(self._ops_most - written, self.spare_writes(now) - written)
         claim.dropped = dead[: max(0, room)]
--- a/petrelthread/placement/scheduler.py
+++ b/petrelthread/placement/scheduler.py
@@ -154,7 +154,7 @@
             request = self._view.request(job)
             if request.pending <= 0:
                 continue
-            if self._fleet.suspect(job) and not job.gang:
+            if self._fleet.job_failures.suspect(job) and not job.gang:
                 if not job.live:
                     wanted.in_turn.append(request._replace(pending=1))
                 continue
--- a/petrelthread/placement/stops.py
+++ b/petrelthread/placement/stops.py
@@ -67,7 +67,7 @@
         slots: dict[int, Slot] = {}
         for request in requests:
             job = self._cluster_state.jobs[request.job]
-            if job.service or self._fleet.suspect(job):
+            if job.service or self._fleet.job_failures.suspect(job):
                 continue
             # A job that still gets room as it falls free does not need others to be stopped.
             waiting_s = time.time() - max(job.accepted_at, job.last_start_at)
@@ -119,7 +119,7 @@
         for request in requests:
             job = self._cluster_state.jobs[request.job]
             lacking = self._lacking(request, not_counted, teams) if job.service else 0
-            if lacking <= 0 or request.single_zone or self._fleet.suspect(job):
+            if lacking <= 0 or request.single_zone or self._fleet.job_failures.suspect(job):
                 continue
             teams[request.team].take(request, lacking)
             needs.append(ReplicaNeed(request, job.rank, guaranteed[request.job], lacking))
--- a/petrelthread/placement/view.py
+++ b/petrelthread/placement/view.py
@@ -165,7 +165,7 @@
         # only unlucky goes on soon. Nothing else is done for it and nothing else waits for it.
         turns = []
         for job in self._cluster_state.open.values():
-            if self._fleet.suspect(job):
+            if self._fleet.job_failures.suspect(job):
                 turns.append(Turn(job.index, False, time.time() + LATE_S))
                 continue
             if job.service:
@@ -209,7 +209,7 @@
 
     def _avoid(self, job: Job) -> frozenset[int]:
         """Machines on which it failed, as long as there are as many others."""
-        failed_on = self._fleet.failures.failed_on(job.index)
+        failed_on = self._fleet.job_failures.failed_on(job)
         if not failed_on:
             return frozenset()
         usable = sum(machine.open for machine in self._fleet.machines.values())
--- a/petrelthread/rental/demand.py
+++ b/petrelthread/rental/demand.py
@@ -107,7 +107,7 @@
             if job.service
             and job.spread_zones
             and job.zone is None
-            and not self._fleet.suspect(job)
+            and not self._fleet.job_failures.suspect(job)
         )
 
     def _boot_s(self) -> float:
@@ -145,10 +145,10 @@
         unfinished = job.tasks - job.done - len(self._fleet.finished.get(job.index, ()))
         if now < job.not_before:
             return 0
-        if self._fleet.suspect(job) and unfinished > 0:
+        if self._fleet.job_failures.suspect(job) and unfinished > 0:
             # Tried on what is there; only the first few tries may ask for a machine, in case
             # there is none and it was merely unlucky.
-            failed_on = len(self._fleet.failures.failed_on(job.index))
+            failed_on = len(self._fleet.job_failures.failed_on(job))
             return 0 if failed_on > PROBED_ON else 1
         return unfinished
 
