--- a/petrelthread/emulator/faults.py
+++ b/petrelthread/emulator/faults.py
@@ -57,7 +57,7 @@
     FaultKind.MACHINE_HANGS: (0.5, 10.0),
     FaultKind.MACHINE_NOT_RECEIVING: (2.0, 12.0),
     FaultKind.MACHINE_NOT_SENDING: (2.0, 12.0),
-    FaultKind.COMMANDS_HELD: (4.0, 40.0),
+    FaultKind.COMMANDS_HELD: (8.0, 40.0),
     FaultKind.MACHINE_FAULTY: (5.0, 15.0),
     FaultKind.ZONE_CUT: (2.0, 12.0),
 }
@@ -81,17 +81,32 @@
 )
 MEETING_SHARE = 0.6  # of late messages that meet the end of the leader
 STRIKES_LEADER = 0.0  # the draw that strikes the leader, if there is one
+# A new leader makes void what an older one sent: a leader that lives on has to do so by itself. In
+# this share of the seeds nothing strikes controllers and the state service.
+LEADER_LIVES_SHARE = 0.5
+LEADER_LIVES_KINDS = (
+    FaultKind.LATE_COMMANDS,
+    FaultKind.LATE_REPORTS,
+    FaultKind.CLOUD_OUTAGE,
+    FaultKind.MACHINES_DIE,
+    FaultKind.MACHINE_HANGS,
+    FaultKind.MACHINE_NOT_RECEIVING,
+    FaultKind.MACHINE_FAULTY,
+    FaultKind.COMMANDS_HELD,
+)
 
 
 def draw_faults(randomness: random.Random, seconds: float, every_s: float) -> list[Fault]:
     """Faults for so many seconds, one each ``every_s`` in the mean; all end in time."""
     faults = []
     at = randomness.uniform(1.0, 2 * every_s)
-    kinds = list(FaultKind)
+    leader_lives = randomness.random() < LEADER_LIVES_SHARE
+    kinds = LEADER_LIVES_KINDS if leader_lives else tuple(FaultKind)
     while at < seconds:
         fault = _draw_fault(randomness, randomness.choice(kinds), at, seconds)
         faults.append(fault)
-        if fault.kind in LATE_KINDS and randomness.random() < MEETING_SHARE:
+        meets = not leader_lives and randomness.random() < MEETING_SHARE
+        if fault.kind in LATE_KINDS and meets:
             meets_at = at + randomness.uniform(0.2, 1.0) * fault.lasts_s
             meeting = _draw_fault(randomness, randomness.choice(LEADER_ENDS), meets_at, seconds)
             faults.append(meeting._replace(draw=STRIKES_LEADER))
--- a/petrelthread/emulator/injector.py
+++ b/petrelthread/emulator/injector.py
@@ -17,7 +17,7 @@
 LEADER_SHARE = 0.6  # of faults of a controller that strike the leader
 SHARE = 0.4  # of messages that a fault of links strikes
 DYING_MOST = 3  # machines that die at once
-HELD_MOST = 4  # machines to which commands are held at once
+HELD_MOST = 6  # machines to which commands are held at once
 
 Strike = Callable[[Fault], Awaitable[None]]
 
