Soak: users who cancel as soon as their job runs

Change: six in ten cancellations come as soon as the user is told that the job runs, asked each 0.1 to 0.3 s.

--- a/petrelthread/emulator/users.py
+++ b/petrelthread/emulator/users.py
@@ -16,10 +16,11 @@
 SUBMIT_WAIT_S = 5.0  # for an answer, as PROTOCOL has it
 POLL_WAIT_S = 2.0
 POLL_EVERY_S = (0.5, 1.5)
+WATCH_EVERY_S = (0.1, 0.3)  # of users who cancel their job as soon as it runs
 RETRY_S = 0.5
 REPEAT_SHARE = 0.05  # of polls that are repeated submissions
 STRANGER = "wk-99999999"  # nobody ever submits it
-FINAL = ("done", "aborted")
+RUNNING, FINAL = "running", ("done", "aborted")
 ACCEPTED = (200, 201)
 
 Request = Callable[..., Awaitable[Reply]]
@@ -53,7 +54,8 @@
                 await self._ask(job.job_id, "POST", "/v2/runs", job.spec, SUBMIT_WAIT_S)
             else:
                 await self._ask(job.job_id, "GET", f"/v2/runs/{job.job_id}", None, POLL_WAIT_S)
-            await asyncio.sleep(self._random.uniform(*POLL_EVERY_S))
+            watches = job.cancel_when_running
+            await asyncio.sleep(self._random.uniform(*(WATCH_EVERY_S if watches else POLL_EVERY_S)))
 
     async def ask_again(self, job: PlannedJob) -> None:
         """A final state is asked for again, at every controller."""
@@ -64,6 +66,9 @@
     def _wants_cancel(self, job: PlannedJob, accepted_at: float, now: float) -> bool:
         if job.service:
             return self.calm.is_set()
+        if job.cancel_when_running:
+            asked = job.job_id in self._judge.asked_to_cancel
+            return asked or self._judge.answers.get(job.job_id) == RUNNING
         return job.cancel_after_s is not None and now - accepted_at > job.cancel_after_s
 
     async def _submit(self, job: PlannedJob) -> None:
--- a/petrelthread/emulator/workload.py
+++ b/petrelthread/emulator/workload.py
@@ -12,8 +12,7 @@
 BACKLOG_AGE_S = (100.0, 260.0)  # the scheduler expects a job to have begun after 150 s
 CANCELLED_SHARE = 0.35
 CANCEL_AFTER_S = (0.0, 20.0)
-AT_ONCE_SHARE = 0.5  # of the cancelled ones: while their first starts are on the way
-AT_ONCE_S = (0.1, 2.0)
+WHEN_RUNNING_SHARE = 0.6  # of the cancelled ones: while their first starts may be on the way
 SERVICE_SHARE = 0.12
 RUN_S = (1.0, 10.0)
 SINGLE_ZONE_SHARE = 0.4
@@ -53,6 +52,7 @@
     submit_s: float  # since the start; below 0: accepted so long before it, by an earlier life
     cancel_after_s: float | None  # after its acceptance
     run_s: float  # of each task
+    cancel_when_running: bool = False  # as soon as its user is told that it runs
 
     @property
     def job_id(self) -> str:
@@ -106,15 +106,12 @@
     )
     if scatter:
         spec["roost"] = None  # half of the tasks would never find a zone
-    cancel = service or randomness.random() < CANCELLED_SHARE
+    cancel = not service and randomness.random() < CANCELLED_SHARE
+    when_running = cancel and randomness.random() < WHEN_RUNNING_SHARE
     return PlannedJob(
         spec,
         submit_s,
-        _draw_cancel_s(randomness) if cancel and not service else None,
+        randomness.uniform(*CANCEL_AFTER_S) if cancel and not when_running else None,
         randomness.uniform(*RUN_S),
+        when_running,
     )
-
-
-def _draw_cancel_s(randomness: random.Random) -> float:
-    at_once = randomness.random() < AT_ONCE_SHARE
-    return randomness.uniform(*(AT_ONCE_S if at_once else CANCEL_AFTER_S))
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -185,6 +185,7 @@
     assert {planned.service for planned in jobs} == {True, False}
     assert any(planned.submit_s < -150.0 and planned.spec["same_place"] for planned in jobs)
     assert any(planned.cancel_after_s is not None for planned in jobs)
+    assert any(planned.cancel_when_running for planned in jobs)
 
 
 def test_links_fail_as_they_are_told_to() -> None:
