--- a/petrelthread/emulator/faults.py
+++ b/petrelthread/emulator/faults.py
@@ -13,6 +13,7 @@
 # cancellation has, one in twenty past two minutes.
 LATE_LEAST_S, LATE_MOST_S = 0.8, 300.0
 LATE_TAIL = 0.6  # exponent of the Pareto distribution
+HELD_LEAST_S = 18.0  # a held command is on its way for longer than a cancellation has
 
 
 class FaultKind(Enum):
@@ -165,7 +166,7 @@
             return Fate(delay_s=delay_s, answer_lost=True)
         if target == "/do" and destination in self.commands_held_until:
             now = asyncio.get_running_loop().time()
-            delay_s = max(0.0, self.commands_held_until[destination] - now)
+            delay_s = max(HELD_LEAST_S, self.commands_held_until[destination] - now)
             return Fate(delay_s=delay_s, answer_lost=True)
         if target == "/do" and chance < self.late_commands:
             return Fate(delay_s=draw_late_s(self.randomness), answer_lost=True)
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -20,6 +20,7 @@
 from petrelthread.emulator.faults import STATE, FaultKind, LinkFaults, draw_faults
 from petrelthread.emulator.loopback import address_of, reserve_port
 from petrelthread.emulator.loopback_world import LoopbackOptions
+from petrelthread.emulator.processes import CANCEL_S
 from petrelthread.emulator.soak import SeedResult, shown
 from petrelthread.emulator.worker import Worker
 from petrelthread.emulator.workload import draw_jobs
@@ -173,6 +174,19 @@
     assert set(seen) == set(FaultKind)
 
 
+def test_held_commands_outlast_what_a_cancellation_has() -> None:
+    """Otherwise no soak could show that a start is possible for too long."""
+
+    async def run() -> None:
+        links = LinkFaults(random.Random(1))
+        links.commands_held_until["host-1"] = asyncio.get_running_loop().time() + 1.0
+        held, free = links.fate("any", "host-1", "/do"), links.fate("any", "host-2", "/do")
+        assert held.answer_lost and held.delay_s > CANCEL_S
+        assert not free.answer_lost and not links.fate("any", "host-1", "/show").delay_s
+
+    play(run())
+
+
 def test_the_workload_has_all_that_the_rules_speak_of() -> None:
     jobs = [
         planned
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -256,6 +256,10 @@
             assert await node.election.raise_token()
             stored = [value for key, value in world.store.puts if key == "pt/epoch"]
             assert stored[-1] == node.election.token == node.fleet.token == before + 1
+            # In the form that older versions write and read, which take the value plus one.
+            (lead,) = [value for key, (value, _, _) in world.store.keys.items() if key == "pt/lead"]
+            assert lead.keys() == {"node", "nonce", "epoch", "lease"}
+            assert lead["epoch"] == before + 1
         assert node.election.epoch == before - 2  # records are still named after the election
         await asyncio.sleep(3.0)
         machines = [machine["worker"] for machine in world.cloud.machines.values()]
