Log which finished tasks are to be recorded and which an election discards

Cause: the logs of a job that stayed `running` after a re-election could not tell two explanations apart: the finished tasks were never reported to the leader, or it knew them, discarded them with its former epoch and did not count them when they were listed again. Change: a debug line for each finished task that is to be recorded, and an info line for each job whose finished tasks are discarded at the beginning of an epoch.

--- a/petrelthread/fleet/attempt_outcomes.py
+++ b/petrelthread/fleet/attempt_outcomes.py
@@ -83,6 +83,7 @@
         tasks = self.finished_tasks.setdefault(job.index, set())
         if task not in tasks:
             tasks.add(task)
+            log.debug("task %s/%d has finished and is to be recorded", job.id, task)
             self._callbacks.on_change()
 
     def startable_count(self, job: Job) -> int:
--- a/petrelthread/fleet/fleet.py
+++ b/petrelthread/fleet/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Collection
 
 from petrelthread import protocol
@@ -16,6 +17,8 @@
 from petrelthread.fleet.worker_lease import WorkerLeases
 from petrelthread.state import Attempt, ClusterState, Job
 
+log = logging.getLogger(__name__)
+
 
 class Fleet(MachineRegistry):
     """The registry of machines, with the reconciliation of what their workers report.
@@ -87,10 +90,21 @@
     ) -> None:
         """Begin this controller's leadership; see ``MachineRegistry.begin_epoch``."""
         self.fencing_token = epoch
-        self.finished_tasks.clear()  # workers list again what is not recorded yet
+        self._discard_finished_tasks(epoch)
         self.job_failures.begin_epoch(now)
         self.begin_epoch(epoch, now, recorded_machines)
 
+    def _discard_finished_tasks(self, epoch: int) -> None:
+        """Discard unrecorded finished tasks; their workers list them until they are recorded."""
+        for job_index, tasks in self.finished_tasks.items():
+            log.info(
+                "epoch %d: %d finished tasks of %s are not recorded; their workers list them again",
+                epoch,
+                len(tasks),
+                self.cluster_state.jobs[job_index].id,
+            )
+        self.finished_tasks.clear()
+
     def on_heartbeat(
         self, heartbeat: protocol.WorkerHeartbeat, now: float, answered: bool
     ) -> Machine | None:
