Count a finished task with every heartbeat that lists it, not only with the first

What callers saw: a job whose tasks had all exited stayed `running` without end, and the machines that listed its exited tasks never became idle. Cause: the leader acted on the change of an attempt's reported state to EXITED. The reported state survives an election, the unrecorded finished tasks that it led to do not: a controller that was elected again discarded them and ignored every later listing. A cancelled job's exited attempts were not released either. Change: each listing of an exited task is reconciled. Marking a task as finished is idempotent and returns whether the mark is new; only then does it count as evidence about job and machine.

--- a/petrelthread/fleet/attempt_outcomes.py
+++ b/petrelthread/fleet/attempt_outcomes.py
@@ -76,15 +76,21 @@
             job.checkpointed_s[attempt.task] = job.checkpointed_s.get(attempt.task, 0.0) + kept_s
         attempt.running_at = 0.0
 
-    def finish(self, job: Job, task: int) -> None:
-        """Mark a task as finished, for the scheduler to record durably."""
+    def finish(self, job: Job, task: int) -> bool:
+        """Mark a task as finished, for the scheduler to record durably; idempotent.
+
+        Returns:
+            Whether the task was neither recorded nor marked before in this epoch.
+        """
         if job.final_status is not None or job.task_states[task] == TASK_FINISHED:
-            return
+            return False
         tasks = self.finished_tasks.setdefault(job.index, set())
-        if task not in tasks:
-            tasks.add(task)
-            log.debug("task %s/%d has finished and is to be recorded", job.id, task)
-            self._callbacks.on_change()
+        if task in tasks:
+            return False
+        tasks.add(task)
+        log.debug("task %s/%d has finished and is to be recorded", job.id, task)
+        self._callbacks.on_change()
+        return True
 
     def startable_count(self, job: Job) -> int:
         """Return how many tasks of the job may be started: pending ones not marked as finished."""
--- a/petrelthread/fleet/task_reconciler.py
+++ b/petrelthread/fleet/task_reconciler.py
@@ -108,9 +108,8 @@
             The new attempt; None if the attempt has exited, or its task is not pending.
         """
         if task_report.state == protocol.TaskState.EXITED:
-            if task_report.exit_cause == protocol.ExitCause.DONE and not job.is_service:
-                self._job_failures.on_completed(machine, job, task)
-                self._outcomes.finish(job, task)
+            if _is_finished(job, task_report):
+                self._count_finished(machine, job, task)
             return None
         if job.final_status is not None or job.task_states[task] != TASK_PENDING:
             return None
@@ -136,7 +135,9 @@
         if state in STATES_AFTER_START and before in STATES_BEFORE_RUNNING:
             attempt.running_at = now
             self._use_image(machine, job)
-        if state == protocol.TaskState.EXITED and before != protocol.TaskState.EXITED:
+        if state == protocol.TaskState.EXITED:
+            if before != protocol.TaskState.EXITED:
+                self._callbacks.on_change()
             self._on_exited(machine, attempt, task_report, now)
 
     def _use_image(self, machine: Machine, job: Job) -> None:
@@ -148,10 +149,15 @@
     def _on_exited(
         self, machine: Machine, attempt: Attempt, task_report: protocol.TaskReport, now: float
     ) -> None:
+        """Apply the exit of a recorded attempt.
+
+        Called for every heartbeat that lists the exited attempt, not only for the first one: an
+        election discards finished tasks that are not recorded, but not the reported states of the
+        attempts. All effects are therefore idempotent.
+        """
         job, cause = attempt.job, task_report.exit_cause
-        self._callbacks.on_change()
-        if cause == protocol.ExitCause.DONE and not job.is_service:
-            self._on_done(machine, attempt, now)
+        if _is_finished(job, task_report):
+            self._on_finished(machine, attempt, now)
             return
         if cause == protocol.ExitCause.ERROR:
             self._job_failures.on_failed(machine, job, attempt.task, now)
@@ -161,21 +167,30 @@
         elif task_report.progress_saved:
             self._outcomes.credit_checkpoint(attempt, stopped=True)
         # The worker keeps listing the attempt until it gets a forget command, so that no delayed
-        # command can start it again.
+        # command can start it again. Once superseded, the attempt is no longer recorded here.
         self._outcomes.supersede(attempt, f"ended: {cause}")
 
-    def _on_done(self, machine: Machine, attempt: Attempt, now: float) -> None:
+    def _on_finished(self, machine: Machine, attempt: Attempt, now: float) -> None:
         job = attempt.job
-        self._job_failures.on_completed(machine, job, attempt.task)
-        self._use_image(machine, job)
         if attempt.running_at:
             checkpointed_s = job.checkpointed_s.pop(attempt.task, 0.0)
             self._callbacks.on_run_time(job, checkpointed_s + now - attempt.running_at)
+            attempt.running_at = 0.0
         if job.final_status is None:
-            self._outcomes.finish(job, attempt.task)
+            self._count_finished(machine, job, attempt.task)
         else:
+            self._on_completed(machine, job, attempt.task)
             self._cluster_state.release(attempt, task_finished=True)
 
+    def _count_finished(self, machine: Machine, job: Job, task: int) -> None:
+        """Count a finished task, once in each epoch until it is recorded."""
+        if self._outcomes.finish(job, task):
+            self._on_completed(machine, job, task)
+
+    def _on_completed(self, machine: Machine, job: Job, task: int) -> None:
+        self._job_failures.on_completed(machine, job, task)
+        self._use_image(machine, job)
+
     # ---- missing tasks ---------------------------------------------------------------------------
 
     def _reconcile_missing(self, machine: Machine, attempt: Attempt) -> None:
@@ -197,3 +212,8 @@
             self._outcomes.supersede(
                 attempt, f"{machine.name} does not list it and acknowledges epoch {epoch}"
             )
+
+
+def _is_finished(job: Job, task_report: protocol.TaskReport) -> bool:
+    """Whether the exited task has completed its work; replicas of services never do."""
+    return task_report.exit_cause == protocol.ExitCause.DONE and not job.is_service
--- a/petrelthread/fleet/test_task_reconciler.py
+++ b/petrelthread/fleet/test_task_reconciler.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from petrelthread import protocol
 from petrelthread.fleet import CommandPlanner, Fleet, FleetCallbacks
 from petrelthread.state import OperationState
 from tests.fleet_builder import (
@@ -15,6 +16,7 @@
     exited,
     heartbeat,
     running,
+    task_report,
 )
 
 
@@ -115,3 +117,83 @@
     fleet.begin_leadership(EPOCH + 2, 110.0)
     fleet.on_heartbeat(heartbeat(2, token=EPOCH + 2, tasks=[done]), 111.0, answered=True)
     assert fleet.finished_tasks == {0: {0}}
+
+
+def test_finished_task_is_credited_and_counted_once_in_each_of_two_epochs() -> None:
+    """Listing it again after an election must not repeat the effects that outlive the epoch."""
+    run_times: list[float] = []
+    fleet = build_fleet(FleetCallbacks(on_run_time=lambda job, ran_s: run_times.append(ran_s)))
+    machine, attempt = add_attempt(fleet, attempt_number(1))
+    done = exited(attempt.number, "done")
+    fleet.on_heartbeat(heartbeat(1, tasks=[running(attempt.number)]), 101.0, answered=True)
+    fleet.on_heartbeat(heartbeat(2, tasks=[done]), 105.0, answered=True)
+    for epoch in (EPOCH + 2, EPOCH + 4):
+        fleet.step_down()
+        fleet.begin_leadership(epoch, 110.0)
+        assert fleet.startable_count(attempt.job) == 3
+        for _ in range(2):
+            listing = heartbeat(machine.sequence_number + 1, token=epoch, tasks=[done])
+            fleet.on_heartbeat(listing, 111.0, answered=True)
+        assert fleet.finished_tasks == {0: {0}}
+        assert fleet.startable_count(attempt.job) == 3
+    assert run_times == [pytest.approx(4.0)]
+    usage = fleet.cluster_state.usage
+    assert usage.machine(machine.index).attempts == usage.team(attempt.job.team).attempts == 0
+    fleet.cluster_state.on_key("d/1", [[JOB_ID, [0, 0]]], 1)
+    assert usage.machine(machine.index).attempts == usage.team(attempt.job.team).attempts == 0
+
+
+def test_finished_task_recorded_by_another_leader_is_not_recorded_again(fleet: Fleet) -> None:
+    _, attempt = add_attempt(fleet, attempt_number(1))
+    done = exited(attempt.number, "done")
+    fleet.on_heartbeat(heartbeat(1, tasks=[done]), 101.0, answered=True)
+    fleet.step_down()
+    fleet.cluster_state.on_key("d/1", [[JOB_ID, [0, 0]]], 1)
+    fleet.begin_leadership(EPOCH + 2, 110.0)
+    fleet.on_heartbeat(heartbeat(2, token=EPOCH + 2, tasks=[done]), 111.0, answered=True)
+    assert not fleet.finished_tasks
+    assert fleet.cluster_state.jobs[0].finished_count == 1
+
+
+def test_exited_task_of_a_cancelled_job_is_released_after_reelection(fleet: Fleet) -> None:
+    """It stayed recorded, so that its machine never became idle."""
+    machine, attempt = add_attempt(fleet, attempt_number(1))
+    done = exited(attempt.number, "done")
+    fleet.on_heartbeat(heartbeat(1, tasks=[done]), 101.0, answered=True)
+    fleet.step_down()
+    fleet.cluster_state.set_final_status(JOB_ID, protocol.JobStatus.CANCELLED)
+    fleet.begin_leadership(EPOCH + 2, 110.0)
+    fleet.on_heartbeat(heartbeat(2, token=EPOCH + 2, tasks=[done]), 111.0, answered=True)
+    assert not fleet.attempts_on(machine)
+    assert not fleet.finished_tasks
+
+
+def test_exited_tasks_of_unknown_jobs_or_indices_count_nothing(fleet: Fleet) -> None:
+    """The job has four tasks."""
+    state = protocol.TaskState.EXITED
+    listed = [
+        protocol.TaskReport("wk-999999/0", attempt_number(1), state.value, "done", False),
+        task_report(attempt_number(1), state, "done", task=4),
+        task_report(attempt_number(1), state, "done", task=-1),
+    ]
+    fleet.on_heartbeat(heartbeat(1, tasks=listed), 101.0, answered=True)
+    assert not fleet.finished_tasks
+    assert fleet.startable_count(fleet.cluster_state.jobs[0]) == 4
+
+
+def test_task_that_finished_under_several_attempts_counts_once(fleet: Fleet) -> None:
+    """One of them is of an earlier epoch and not recorded; the other is listed twice at once."""
+    machine, attempt = add_attempt(fleet, attempt_number(1))
+    earlier = exited(attempt_number(1, epoch=EPOCH - 1), "done")
+    done = exited(attempt.number, "done")
+    fleet.on_heartbeat(heartbeat(1, tasks=[earlier]), 101.0, answered=True)
+    assert fleet.finished_tasks == {0: {0}}
+    fleet.on_heartbeat(heartbeat(2, tasks=[earlier, done, done]), 102.0, answered=True)
+    assert fleet.finished_tasks == {0: {0}}
+    fleet.cluster_state.on_key("d/1", [[JOB_ID, [0, 0]]], 1)
+    fleet.finished_tasks.clear()
+    fleet.on_heartbeat(heartbeat(1, tasks=[done]), 103.0, answered=True)  # a late copy
+    fleet.on_heartbeat(heartbeat(3, tasks=[earlier, done]), 104.0, answered=True)
+    assert not fleet.finished_tasks
+    assert fleet.cluster_state.jobs[0].finished_count == 1
+    assert fleet.cluster_state.usage.machine(machine.index).attempts == 0
