Begin an epoch without machines that were unresponsive in an earlier one

What callers saw: a leader that had lost its workers and was elected again later returned healthy machines with their tasks, which had to start again. Cause: the health UNRESPONSIVE outlived the epoch in which it was observed. As soon as half of the machines had reported in the new epoch, the others no longer looked like a common fault and were returned, within seconds of the election. Change: MachineRegistry.begin_epoch sets such machines to UP; last_seen_at is reset to the election already, so that the timeout of a new leader applies to them as to all others.

--- a/petrelthread/fleet/machine.py
+++ b/petrelthread/fleet/machine.py
@@ -17,7 +17,8 @@
 
     - UP: ``HeartbeatReconciler``, on the first heartbeat of a BOOTING machine, or on an answered
       heartbeat of an UNRESPONSIVE one that has acknowledged the current epoch.
-      ``MachineRegistry.begin_epoch`` sets it for BOOTING machines that have attempts.
+      ``MachineRegistry.begin_epoch`` sets it for BOOTING machines that have attempts, and for
+      UNRESPONSIVE ones.
     - DRAINING: ``HeartbeatReconciler``, when the heartbeat carries a spot termination notice.
     - UNRESPONSIVE: ``FailureDetector`` only.
     - TERMINATING, TERMINATED: the provisioner, when a scale-in is recorded and when it is
--- a/petrelthread/fleet/machine_registry.py
+++ b/petrelthread/fleet/machine_registry.py
@@ -91,6 +91,9 @@
         if machine.health is Health.BOOTING and has_attempts:
             # It has run work, so missing heartbeats are evidence of a fault.
             machine.transition(Health.UP)
+        elif machine.health is Health.UNRESPONSIVE:
+            # It may have reported to another leader since.
+            machine.transition(Health.UP)
         for attempt in self.attempts_on(machine).values():
             if attempt.state in (OperationState.CONFIRMED, OperationState.DISPATCHING):
                 transition(attempt, OperationState.UNKNOWN)
--- a/tests/test_reelection.py
+++ b/tests/test_reelection.py
@@ -254,3 +254,43 @@
         await simulation.wait_until_jobs_final(60.0)
 
     run_scenario(scenario)
+
+
+async def lead_from_elsewhere(simulation: Simulation, old: str) -> str:
+    """Wait until another controller leads, and return it."""
+    while simulation.leader in (None, old):
+        await asyncio.sleep(0.1)
+    return str(simulation.leader)
+
+
+def test_machines_that_were_unresponsive_in_an_earlier_epoch_are_kept() -> None:
+    """The leader loses all workers and is replaced; it leads again after the partition has ended.
+
+    It still held those for unresponsive that had not reported to it yet, and returned them as soon
+    as most others had.
+    """
+
+    async def scenario(simulation: Simulation) -> None:
+        simulation.run_s = 60.0
+        await simulation.submit(job_spec(JOB_ID, 6, estimated_run_s=60.0))
+        await simulation.submit(job_spec("wk-000002", 6, team="blue", estimated_run_s=60.0))
+        await simulation.wait_until_running(12)
+        old = await simulation.wait_for_leader()
+        epoch = simulation.nodes[old].election.epoch
+        machines = set(simulation.cloud.machines)
+        simulation.network.partitions |= {frozenset((old, name)) for name in machines}
+        new = await lead_from_elsewhere(simulation, old)
+        await asyncio.sleep(5.0)
+        simulation.network.partitions.clear()
+        await asyncio.sleep(15.0)  # the former leader campaigns again
+        late = sorted(machines)[:2]
+        simulation.network.not_sending |= set(late)
+        simulation.crash(new)
+        await elect_again(simulation, old, epoch)
+        await asyncio.sleep(3.0)
+        simulation.network.not_sending.clear()
+        assert machines <= set(simulation.cloud.machines)
+        simulation.boot(new)
+        await simulation.wait_until_jobs_final(120.0)
+
+    run_scenario(scenario)
