Forget at the beginning of an epoch which starts a machine ignored before

What callers saw: after the same controller was elected again, a machine whose one-way partition had ended got no work, and was quarantined and returned with its tasks. Cause: Machine.ignored_starts outlives the epoch, while only a start of the present epoch that is carried out resets it; none is placed on a suspect machine. Evidence: the new test, on the parent: after the election and a heartbeat of the new epoch partition_reason is still 'it does not carry out its start commands'. Found by reading; not seen in a deployment. Change: MachineRegistry.begin_epoch resets the count. Measured: test_ignored_starts_of_an_earlier_epoch_do_not_exclude_the_machine failed before and passes; petrelthread/fleet, tests/test_reelection.py and tests/test_partitions.py pass.

--- a/petrelthread/fleet/machine_registry.py
+++ b/petrelthread/fleet/machine_registry.py
@@ -87,6 +87,7 @@
         machine.idle_since = now
         machine.failed_reads = 0
         machine.commands_in_flight = 0
+        machine.ignored_starts = 0  # its next heartbeat updates the suspicion of a partition
         has_attempts = machine.index in self.cluster_state.attempts_by_machine
         if machine.health is Health.BOOTING and has_attempts:
             # It has run work, so missing heartbeats are evidence of a fault.
--- a/petrelthread/fleet/test_machine_registry.py
+++ b/petrelthread/fleet/test_machine_registry.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from petrelthread.fleet import Fleet
-from tests.fleet_builder import EPOCH, add_attempt, attempt_number
+from petrelthread.fleet import FailureDetector, Fleet
+from tests.fleet_builder import EPOCH, add_attempt, attempt_number, heartbeat
 
 
 def test_failover_drops_machines_without_record_and_attempts(fleet: Fleet) -> None:
@@ -14,3 +14,17 @@
     assert set(fleet.machines.values()) == {with_attempt, rented}
     assert rented.registered_at == 300.0  # it may have booted during the failover
     assert fleet.find(unrecorded.name) is None
+
+
+def test_ignored_starts_of_an_earlier_epoch_do_not_exclude_the_machine(fleet: Fleet) -> None:
+    """Only a start of the present epoch could reset them, and none is placed on such a machine."""
+    machine, _ = add_attempt(fleet, attempt_number())
+    machine.ignored_starts, machine.ignored_starts_since = 3, 101.0
+    fleet.on_heartbeat(heartbeat(1), 104.0, answered=True)
+    assert machine.partition_reason
+    fleet.step_down()
+    fleet.begin_leadership(EPOCH + 2, 110.0)
+    fleet.on_heartbeat(heartbeat(2, token=EPOCH + 2), 111.0, answered=True)
+    assert fleet.is_schedulable(machine)
+    FailureDetector(fleet).check(112.0, timeout_s=6.5)
+    assert not machine.quarantine_reason
