End attempts on machines that were returned in an earlier epoch

What callers saw: a task that a late claim records on a returned machine counts as running without end if the same controller is elected again first; its job never completes. Cause: begin_epoch dropped TERMINATED machines also when they had attempts again, and the failure detector ends attempts only of machines in the registry. Evidence: found by reading; the new test, on the parent, still counts the task as live when the longest possible lease is over. Not seen in a deployment. Change: returned machines are dropped first, and machines with attempts added afterwards. Measured: test_attempts_on_a_machine_returned_in_an_earlier_epoch_end failed before and passes; petrelthread/fleet, tests/test_reelection.py and tests/test_failover.py: 119 passed.

--- a/petrelthread/fleet/machine_registry.py
+++ b/petrelthread/fleet/machine_registry.py
@@ -70,16 +70,25 @@
         """
         self.epoch = epoch
         self.elected_at = now
+        # A returned machine that has attempts again, by a claim that was applied late, is added
+        # anew below: its missing heartbeats then end them.
+        self._drop([m for m in self.machines.values() if m.health is Health.TERMINATED])
         attempts_by_machine = self.cluster_state.attempts_by_machine
         for index in attempts_by_machine:
             self.get_or_add(self.cluster_state.names.machines.name(index), now)
-        for machine in list(self.machines.values()):
-            known = machine.name in recorded_machines or machine.index in attempts_by_machine
-            if known and machine.health is not Health.TERMINATED:
-                self._reset_observations(machine, now)
-            else:
-                del self.machines[machine.index]
-                self.machines_with_notice.pop(machine.index, None)
+        unknown = [
+            machine
+            for machine in self.machines.values()
+            if machine.name not in recorded_machines and machine.index not in attempts_by_machine
+        ]
+        self._drop(unknown)
+        for machine in self.machines.values():
+            self._reset_observations(machine, now)
+
+    def _drop(self, machines: list[Machine]) -> None:
+        for machine in machines:
+            del self.machines[machine.index]
+            self.machines_with_notice.pop(machine.index, None)
 
     def _reset_observations(self, machine: Machine, now: float) -> None:
         """Reset what only the former leader could know about the machine and its attempts."""
--- a/petrelthread/fleet/test_machine_registry.py
+++ b/petrelthread/fleet/test_machine_registry.py
@@ -2,8 +2,16 @@
 
 from __future__ import annotations
 
-from petrelthread.fleet import FailureDetector, Fleet
-from tests.fleet_builder import EPOCH, add_attempt, attempt_number, heartbeat
+from petrelthread.fleet import FailureDetector, Fleet, Health
+from petrelthread.fleet.worker_lease import longest_lease_s
+from tests.fleet_builder import (
+    EPOCH,
+    LEASE_GRACE_S,
+    LEASE_S,
+    add_attempt,
+    attempt_number,
+    heartbeat,
+)
 
 
 def test_failover_drops_machines_without_record_and_attempts(fleet: Fleet) -> None:
@@ -28,3 +36,15 @@
     assert fleet.is_schedulable(machine)
     FailureDetector(fleet).check(112.0, timeout_s=6.5)
     assert not machine.quarantine_reason
+
+
+def test_attempts_on_a_machine_returned_in_an_earlier_epoch_end(fleet: Fleet) -> None:
+    """A claim that was applied late can name such a machine; its tasks would run for ever."""
+    machine, attempt = add_attempt(fleet, attempt_number())
+    machine.transition(Health.TERMINATING)
+    machine.transition(Health.TERMINATED)
+    fleet.step_down()
+    fleet.begin_leadership(EPOCH + 2, 110.0)
+    lease_over = 110.0 + LEASE_GRACE_S + longest_lease_s(LEASE_S) + 1.0
+    FailureDetector(fleet).check(lease_over, timeout_s=6.5)
+    assert attempt.job.pending_count == attempt.job.task_count
