Let stable replicas prove their service again in each epoch

What callers saw: after a re-election of the same controller, a service with running replicas counted as failing everywhere when three machines failed it; its replicas came back one at a time and with delays. Cause: Attempt.proven_stable outlives the epoch, while the evidence that it stands for is cleared. Found by reading. Change: the flag is reset with the other observations of the attempts. Measured: test_stable_replica_proves_its_service_again_in_each_epoch failed before and passes (petrelthread/fleet/test_task_reconciler.py: 12 passed).

--- a/petrelthread/fleet/machine_registry.py
+++ b/petrelthread/fleet/machine_registry.py
@@ -105,5 +105,6 @@
             # It may have reported to another leader since.
             machine.transition(Health.UP)
         for attempt in self.attempts_on(machine).values():
+            attempt.proven_stable = False  # the evidence that it gave is cleared as well
             if attempt.state in (OperationState.CONFIRMED, OperationState.DISPATCHING):
                 transition(attempt, OperationState.UNKNOWN)
--- a/petrelthread/fleet/test_task_reconciler.py
+++ b/petrelthread/fleet/test_task_reconciler.py
@@ -197,3 +197,28 @@
     assert not fleet.finished_tasks
     assert fleet.cluster_state.jobs[0].finished_count == 1
     assert fleet.cluster_state.usage.machine(machine.index).attempts == 0
+
+
+def test_stable_replica_proves_its_service_again_in_each_epoch() -> None:
+    """An election clears the evidence; a proven service counted as suspect afterwards.
+
+    Only one replica at a time of a suspect service is tried, with a growing delay.
+    """
+    fleet = build_fleet()
+    job = fleet.cluster_state.jobs[0]
+    job.is_service = True
+    machine, attempt = add_attempt(fleet, attempt_number(1))
+    for sequence_number, at in ((1, 101.0), (2, 110.0)):
+        listing = heartbeat(sequence_number, tasks=[running(attempt.number)])
+        fleet.on_heartbeat(listing, at, answered=True)
+    assert attempt.proven_stable
+    fleet.step_down()
+    fleet.begin_leadership(EPOCH + 2, 111.0)
+    listing = heartbeat(3, token=EPOCH + 2, tasks=[running(attempt.number)])
+    fleet.on_heartbeat(listing, 112.0, answered=True)
+    for serial in range(2, 6):
+        failing, failed = add_attempt(fleet, attempt_number(serial), 1, 1, f"host-{serial:06d}")
+        error = task_report(failed.number, protocol.TaskState.EXITED, "error", task=1)
+        listing = heartbeat(1, EPOCH + 2, [error], machine_name=failing.name)
+        fleet.on_heartbeat(listing, 113.0, answered=True)
+    assert not fleet.job_failures.is_suspect(job)
