Discard the backoff of jobs with the failures that caused it

What callers saw: after a re-election of the same controller, a job could wait for up to 60 s because of failures in an earlier epoch, though another leader had run it since. Cause: Job.backoff_s, retry_at and failing_tasks outlive the epoch, the failures do not. Evidence: the new test, on the parent: retry_at is still 240.0 after the election at 190.0. Found by reading; not seen in a deployment. Change: JobFailures.begin_epoch resets them; recorded suspect jobs stay suspect. Measured: test_backoff_of_an_earlier_epoch_does_not_delay_a_job failed before and passes; petrelthread/fleet, tests/test_faulty_jobs_and_machines.py and tests/test_reelection.py pass.

--- a/petrelthread/fleet/job_failures.py
+++ b/petrelthread/fleet/job_failures.py
@@ -34,11 +34,17 @@
         self._attribution = FailureAttribution()
 
     def begin_epoch(self, now: float) -> None:
-        """Begin with the records of former leaders, so that suspect jobs remain suspect."""
+        """Begin with the records of former leaders, so that suspect jobs remain suspect.
+
+        Other failures and their consequences for jobs are discarded, since this controller does not
+        know how the jobs fared under the leaders in between.
+        """
         self._attribution.clear()
         names = self._cluster_state.names.machines
         recorded = self._cluster_state.machines_by_suspect_job
         for job in self._cluster_state.open_jobs.values():
+            job.backoff_s = job.retry_at = 0.0
+            job.failing_tasks.clear()
             if job.finished_count:
                 self._attribution.on_proven(job.index)
             elif job.id in recorded:
