Test what becomes of an exited attempt that is listed no more

Cause: the states in which an exited, unrecorded attempt is missing from a heartbeat were argued from the code only. Change: two tests. Within the epoch the mark as finished stays until it is recorded; in a later epoch the attempt ends with the first heartbeat that acknowledges it, and its task runs again. An unused variable of an earlier test is gone.

--- a/petrelthread/fleet/test_task_reconciler.py
+++ b/petrelthread/fleet/test_task_reconciler.py
@@ -207,7 +207,7 @@
     fleet = build_fleet()
     job = fleet.cluster_state.jobs[0]
     job.is_service = True
-    machine, attempt = add_attempt(fleet, attempt_number(1))
+    _, attempt = add_attempt(fleet, attempt_number(1))
     for sequence_number, at in ((1, 101.0), (2, 110.0)):
         listing = heartbeat(sequence_number, tasks=[running(attempt.number)])
         fleet.on_heartbeat(listing, at, answered=True)
@@ -222,3 +222,32 @@
         listing = heartbeat(1, EPOCH + 2, [error], machine_name=failing.name)
         fleet.on_heartbeat(listing, 113.0, answered=True)
     assert not fleet.job_failures.is_suspect(job)
+
+
+def test_exited_attempt_that_is_listed_no_more_keeps_its_mark_within_the_epoch(
+    fleet: Fleet,
+) -> None:
+    machine, attempt = add_attempt(fleet, attempt_number(1))
+    done = exited(attempt.number, "done")
+    fleet.on_heartbeat(heartbeat(1, tasks=[done]), 101.0, answered=True)
+    fleet.on_heartbeat(heartbeat(2), 102.0, answered=True)
+    assert attempt.state is OperationState.CONFIRMED
+    assert fleet.finished_tasks == {0: {0}}
+    assert fleet.startable_count(attempt.job) == 3
+    fleet.cluster_state.on_key("d/1", [[JOB_ID, [0, 0]]], 1)
+    assert not fleet.attempts_on(machine)
+
+
+def test_exited_attempt_that_is_never_listed_in_the_next_epoch_runs_again(fleet: Fleet) -> None:
+    """A worker forgets an attempt on command only, which follows a record, or with its lease."""
+    machine, attempt = add_attempt(fleet, attempt_number(1))
+    done = exited(attempt.number, "done")
+    fleet.on_heartbeat(heartbeat(1, tasks=[done]), 101.0, answered=True)
+    fleet.step_down()
+    fleet.begin_leadership(EPOCH + 2, 110.0)
+    fleet.on_heartbeat(heartbeat(2, token=EPOCH), 111.0, answered=True)
+    assert fleet.attempts_on(machine)  # an old report is no evidence
+    fleet.on_heartbeat(heartbeat(3, token=EPOCH + 2), 112.0, answered=True)
+    assert attempt.state is OperationState.SUPERSEDED
+    assert not fleet.attempts_on(machine)
+    assert fleet.startable_count(attempt.job) == 4
