Run the handlers of the simulation in the process of their host

Cause: a fault of the simulation, not of the product. A request's handler ran in the context of its sender. The workers of machines that a controller had rented therefore belonged to its process and were paused with it: all of them fell silent for 35 s and were returned. Change: the handler runs in a task of its own in the process of its host. The new test_workers_report_while_the_controller_that_rented_them_is_paused failed before and passes.

--- a/tests/simulated_network.py
+++ b/tests/simulated_network.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextvars
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Any
 
@@ -10,6 +11,7 @@
 
 from petrelthread.emulator.environment import RequestHandler
 from petrelthread.http import ClientResponse, NoResponseError
+from tests.virtual_time import PROCESS
 
 if TYPE_CHECKING:
     from tests.simulation import Simulation
@@ -84,13 +86,27 @@
             self.simulation.background(
                 self._redeliver(duplicate_delay_s, source, addr, method, target, body)
             )
-        status, response = await handler(source, method, target, body)
+        status, response = await self._handle(host, lambda: handler(source, method, target, body))
         if delay_s := self.response_delay(target):
             await asyncio.sleep(delay_s)
         if response_is_lost or source in self.not_receiving or self._partitioned(source, host):
             await asyncio.sleep(LOST_MESSAGE_DELAY_S)
         return ClientResponse(status, orjson.dumps(response))
 
+    async def _handle(self, host: str, handle: Callable[[], Awaitable[Any]]) -> Any:
+        """Run a request's handler in the process of its host, not in that of the sender.
+
+        A pause of the sender then spares it and all that it starts, such as the workers of machines
+        that the sender has rented.
+        """
+
+        async def run() -> Any:
+            return await handle()
+
+        context = contextvars.copy_context()
+        context.run(PROCESS.set, host if host in self.simulation.nodes else "")
+        return await asyncio.get_running_loop().create_task(run(), context=context)
+
     def _partitioned(self, source: str, host: str) -> bool:
         return frozenset((source, host)) in self.partitions
 
@@ -123,4 +139,5 @@
         await asyncio.sleep(delay_s)
         handler = self.hosts.get(addr)
         if handler is not None:
-            await handler(source, method, target, body)  # the response is discarded
+            host = addr.partition(":")[0]
+            await self._handle(host, lambda: handler(source, method, target, body))  # no response
--- a/tests/test_process_pause.py
+++ b/tests/test_process_pause.py
@@ -65,3 +65,21 @@
         await simulation.wait_until_jobs_final(200.0)
 
     run_scenario(scenario)
+
+
+def test_workers_report_while_the_controller_that_rented_them_is_paused() -> None:
+    """They were paused with it in the simulation, so that a new leader lost all its machines."""
+
+    async def scenario(simulation: Simulation) -> None:
+        simulation.run_s = 60.0
+        await simulation.submit(job_spec("wk-000001", 6, estimated_run_s=60.0))
+        machines = {
+            simulation.worker_running(task_id).name
+            for task_id in await simulation.wait_until_running(6)
+        }
+        old = await simulation.wait_for_leader()
+        await simulation.pause(old, 35.0)
+        assert machines <= set(simulation.cloud.machines)
+        await simulation.wait_until_jobs_final(200.0)
+
+    assert run_scenario(scenario).checker.start_count == 6
