Answer polls in time when the state service cannot be reached

Cause: a refresh waits for the read in progress, which began too early to count, and then for its own; both run into the timeout of 1 s. Change: a query waits for a refresh for 1.25 s at most, and answers 503 then.

--- a/petrelthread/job_api/queries.py
+++ b/petrelthread/job_api/queries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from http import HTTPStatus
 
@@ -21,6 +22,9 @@
 
 log = logging.getLogger(__name__)
 
+# How long a response waits for a read of the state service; users wait 2 s for it.
+MAX_REFRESH_WAIT_S = 1.25
+
 
 class JobQueries:
     """Responds from the cluster state, and refreshes it first where it may be stale."""
@@ -42,7 +46,7 @@
         """Return a job's status; ``job_id`` is known to be valid."""
         job = self._cluster_state.jobs_by_id.get(job_id)
         if job is None or job.final_status is None:  # a final status never changes
-            if not await self._watch_cache.refresh():
+            if not await self._refresh():
                 return state_service_unreachable()
             job = self._cluster_state.jobs_by_id.get(job_id)
         if job is None:
@@ -52,6 +56,18 @@
             HTTPStatus.OK, protocol.job_response(job_id, job.status, job.finished_count, running)
         )
 
+    async def _refresh(self) -> bool:
+        """Refresh the watch cache; return False if that fails or takes too long for the user.
+
+        Without a limit, a call would wait for two timeouts when the state service is unreachable:
+        of the read that is in progress, which began before the call, and of its own.
+        """
+        try:
+            async with asyncio.timeout(MAX_REFRESH_WAIT_S):
+                return await self._watch_cache.refresh()
+        except TimeoutError:
+            return False
+
     async def cancel(self, job_id: str) -> Response:
         """Cancel a job unless it has a final status; the response contains the final status."""
         if not protocol.JOB_ID.match(job_id):
@@ -81,7 +97,7 @@
     async def _final_status_response(self, job: Job) -> Response:
         """Return the final status that another transaction wrote for a job."""
         if job.final_status is None:
-            await self._watch_cache.refresh()
+            await self._refresh()
         if job.final_status is None:
             return state_service_unreachable()
         return json_response(HTTPStatus.OK, protocol.job_response(job.id, job.status))
--- a/tests/test_partitions.py
+++ b/tests/test_partitions.py
@@ -158,3 +158,30 @@
         await simulation.wait_until_jobs_final(120.0)
 
     run_scenario(scenario)
+
+
+USER_TIMEOUT_S = 2.0  # how long users wait for the answer to a poll, according to PROTOCOL
+TRANSIT_S = 0.5  # of a user's request and its answer together
+
+
+@pytest.mark.parametrize("phase_s", [0.1 * n for n in range(10)])
+def test_poll_at_a_controller_without_the_state_service_is_answered_in_time(phase_s: float) -> None:
+    """It waited for the timeout of the read in progress, and then for that of its own read."""
+
+    async def scenario(simulation: Simulation) -> None:
+        simulation.run_s = 30.0
+        await simulation.submit(job_spec("wk-000001", 4, estimated_run_s=60.0))
+        await simulation.wait_until_running(4)
+        leader = await simulation.wait_for_leader()
+        simulation.network.partitions |= {
+            frozenset((leader, other)) for other in ("state", "cloud", *other_controllers(leader))
+        }
+        await asyncio.sleep(1.2 + phase_s)
+        asked_at = now()
+        status, _ = await simulation.ask(leader, "GET", "/v2/runs/wk-000001")
+        assert status == 503
+        assert now() - asked_at < USER_TIMEOUT_S - TRANSIT_S
+        simulation.network.partitions.clear()
+        await simulation.wait_until_jobs_final(100.0)
+
+    run_scenario(scenario)
