Give every queued submission an outcome, also after an unexpected error

What callers saw: if writing a batch raised an error that SubmissionQueue does not list, the users of the batch got no answer, nor did those queued behind until another submission came. Cause: the exception ended the task that flushes the queue, with the futures unresolved. Evidence: the new test, on the parent, runs into its limit of 5 s (virtual time). Found by reading; no such error was seen. Change: the rest of a batch is resolved as not confirmed in a finally block, the error logged, and the next batch written. Sizes are computed when a submission is queued. Measured: test_submissions_get_an_outcome_after_an_unexpected_error failed before (TimeoutError) and passes; petrelthread/job_api: 42 passed.

--- a/petrelthread/job_api/submission_queue.py
+++ b/petrelthread/job_api/submission_queue.py
@@ -47,6 +47,7 @@
 
     job_id: str
     value: list[Any]
+    size: int  # of the encoded value, in bytes
     future: asyncio.Future[SubmissionOutcome]
 
     @property
@@ -76,21 +77,28 @@
     async def create(self, job_id: str, value: list[Any]) -> SubmissionOutcome:
         """Write a job unless it exists, in one transaction with other waiting jobs."""
         future: asyncio.Future[SubmissionOutcome] = asyncio.get_running_loop().create_future()
-        self._waiting.append(_Submission(job_id, value, future))
+        self._waiting.append(_Submission(job_id, value, len(orjson.dumps(value)), future))
         if self._flush_task is None or self._flush_task.done():
             self._flush_task = asyncio.create_task(self._flush())
         return await future
 
     async def _flush(self) -> None:
         while self._waiting:
-            await self._commit(self._next_batch())
+            batch = self._next_batch()
+            try:
+                await self._commit(batch)
+            except Exception:
+                log.exception("writing %d submissions failed", len(batch))
+            finally:
+                # No user may wait for a submission that was dequeued and has no outcome.
+                _resolve(batch, SubmissionOutcome.NOT_CONFIRMED)
 
     def _next_batch(self) -> list[_Submission]:
         """Dequeue as many waiting submissions as fit in one transaction, at least one."""
         batch: list[_Submission] = []
         size = 0
         while self._waiting and len(batch) < self._max_operations:
-            size += len(orjson.dumps(self._waiting[0].value)) + ENTRY_OVERHEAD_BYTES
+            size += self._waiting[0].size + ENTRY_OVERHEAD_BYTES
             if batch and size > MAX_BATCH_BYTES:
                 break
             batch.append(self._waiting.popleft())
