Count a preemption once its claim is committed

What callers saw: tasks that were never preempted cost more to preempt after rounds whose claims failed, so that others, which lose more work, were preempted instead. Cause: PreemptionPlanner counted a preemption when it chose the victim. A claim that conflicts or is fenced, and a stop that does not fit into the claim, stop nothing. Evidence: the new test, on the parent: three rounds without a committed claim count {0: 3} for a task that runs on. Found by reading. Change: the scheduler counts after the claim is committed, attempts with a recorded stop only. Measured: test_preemption_counts_once_its_claim_is_committed failed before for both outcomes and passes; petrelthread/scheduling, tests/test_fairness.py, tests/test_services.py and tests/test_architecture.py: 262 passed.

--- a/petrelthread/scheduling/preemption_planner.py
+++ b/petrelthread/scheduling/preemption_planner.py
@@ -63,7 +63,7 @@
         self._preemption_delay_s = _preemption_delay_by_class(settings, cluster_state)
 
     def plan(self, placed_round: PlacedRound, now: float) -> list[Attempt]:
-        """Choose the attempts to stop, and count each task's preemptions."""
+        """Choose the attempts to stop; ``count_preemptions`` counts those that are claimed."""
         cores_over_guarantee = _cores_over_guarantee(placed_round.usage, self._teams)
         for_replicas = self._plan_for_replicas(placed_round, cores_over_guarantee, now)
         return for_replicas or self._plan_for_first_job(placed_round, cores_over_guarantee, now)
@@ -166,7 +166,7 @@
         return guaranteed or job.priority >= protocol.PRIORITIES["high"]
 
     def _preempt(self, victims: list[Victim], job: Job) -> list[Attempt]:
-        """Return the victims' attempts, which are to be stopped for ``job``; counts preemptions."""
+        """Return the victims' attempts, which are to be stopped for ``job``."""
         attempts = []
         for victim in victims:
             victim_job = self._cluster_state.jobs[victim.job_index]
@@ -174,12 +174,21 @@
             if attempt is None:
                 continue
             attempts.append(attempt)
-            counts = victim_job.preemption_counts
-            counts[attempt.task] = counts.get(attempt.task, 0) + 1
             log.info("preempting task %s/%d for job %s", victim_job.id, attempt.task, job.id)
         return attempts
 
 
+def count_preemptions(preempted: list[Attempt]) -> None:
+    """Count the preemptions whose stops a committed claim has recorded.
+
+    A claim that fails, or has no room for all stops, leaves some attempts running.
+    """
+    for attempt in preempted:
+        if attempt.stop_requested_at:
+            counts = attempt.job.preemption_counts
+            counts[attempt.task] = counts.get(attempt.task, 0) + 1
+
+
 def _preemption_delay_by_class(settings: Settings, cluster_state: ClusterState) -> dict[int, float]:
     """How long a job waits before tasks are preempted for it, in seconds, by job class.
 
--- a/petrelthread/scheduling/scheduler.py
+++ b/petrelthread/scheduling/scheduler.py
@@ -12,6 +12,7 @@
 from petrelthread.scheduling.claim_applier import ClaimApplier
 from petrelthread.scheduling.claim_builder import ClaimBuilder
 from petrelthread.scheduling.cluster_view import ClusterView
+from petrelthread.scheduling.preemption_planner import count_preemptions
 from petrelthread.scheduling.round_claim import RoundClaim
 from petrelthread.scheduling.round_planner import RoundDecision, RoundPlanner
 from petrelthread.scheduling.spot_reclaim import attempts_unfinished_at_reclaim
@@ -145,6 +146,7 @@
             log.info("claim not committed; keys with failed conditions: %s", ", ".join(failed_keys))
             return await self._refresh()
         self._applier.apply(claim, now)
+        count_preemptions(decision.preemptions)
         return claim.has_postponed or bool(self._fleet.finished_tasks)
 
     async def _claim(self, claim: RoundClaim) -> tuple[ClaimOutcome, tuple[str, ...]]:
--- a/petrelthread/scheduling/test_claimed_starts.py
+++ b/petrelthread/scheduling/test_claimed_starts.py
@@ -11,9 +11,10 @@
 
 from petrelthread import protocol
 from petrelthread.fleet import Health
+from petrelthread.leadership import ClaimOutcome
 from petrelthread.scheduling.start_validator import Start
-from petrelthread.state import RECORDS_PER_EPOCH, epoch_base_number
-from tests.scheduling_cluster import EPOCH, Cluster, cluster_test, now
+from petrelthread.state import RECORDS_PER_EPOCH, OperationState, epoch_base_number, transition
+from tests.scheduling_cluster import EPOCH, OVERDUE_S, Cluster, cluster_test, now
 from tests.simulation import job_spec
 from tests.virtual_time import run_in_virtual_time
 
@@ -133,6 +134,30 @@
     assert in_records == 9
 
 
+@pytest.mark.parametrize("outcome", [ClaimOutcome.CONFLICT, ClaimOutcome.FENCED])
+@cluster_test
+async def test_preemption_counts_once_its_claim_is_committed(
+    cluster: Cluster, outcome: ClaimOutcome
+) -> None:
+    """Each counted preemption doubles the cost of the task's next one."""
+    cluster.add_machine(1, "a")  # one task fits
+    machine = cluster.add_machine(2, "a", taken_cores=4.0)
+    (victim,) = cluster.fleet.attempts_on(machine).values()
+    victim.job.priority = protocol.PRIORITIES["low"]
+    transition(victim, OperationState.CONFIRMED)
+    spec = job_spec(JOB, 2, cores=4.0, ram_gb=1.0, priority="high")
+    cluster.add_job(spec, waited_s=OVERDUE_S)
+    cluster.claim_writer.outcome = outcome
+    for _ in range(3):
+        await cluster.scheduler.run_round(now())
+    assert not victim.stop_requested_at
+    assert victim.job.preemption_counts == {}
+    cluster.claim_writer.outcome = ClaimOutcome.COMMITTED
+    await cluster.scheduler.run_round(now())
+    assert victim.stop_requested_at
+    assert victim.job.preemption_counts == {0: 1}
+
+
 @cluster_test
 async def test_record_numbers_of_epoch_are_below_those_of_next_epoch(cluster: Cluster) -> None:
     scheduler = cluster.scheduler
--- a/tests/scheduling_cluster.py
+++ b/tests/scheduling_cluster.py
@@ -38,16 +38,17 @@
 
 
 class ScriptedClaimWriter:
-    """Commits every claim; calls ``during_claim`` while the claim is in flight."""
+    """Ends every claim with ``outcome``; calls ``during_claim`` while the claim is in flight."""
 
     def __init__(self) -> None:
         self.during_claim: Callable[[], None] = lambda: None
+        self.outcome = ClaimOutcome.COMMITTED
 
     async def claim(
         self, ops: list[protocol.Operation], marker: str | None = None, absent: tuple[str, ...] = ()
     ) -> tuple[ClaimOutcome, tuple[str, ...]]:
         self.during_claim()
-        return ClaimOutcome.COMMITTED, ()
+        return self.outcome, ()
 
 
 class RecordingDispatcher:
