Refuse an unknown name in settings get

Cause: the name only filtered what was rendered. Evidence: the new test, on the parent: exit code 0 for idle_t. Change: an unknown name is an error on standard error with exit code 2, as `settings set` has it.

--- a/petrelthread/cli/operator_commands.py
+++ b/petrelthread/cli/operator_commands.py
@@ -70,7 +70,7 @@
 def _settings(args: argparse.Namespace) -> int:
     status, current = request(args.address, "GET", ADMIN_PREFIX + "settings")
     if status != HTTPStatus.OK or args.action == "get":
-        return _print(args, status, current, lambda body: render.settings(body, args.name))
+        return _print_settings(args, status, current)
     try:
         value = None if args.value == "default" else float(args.value)
     except ValueError:
@@ -82,6 +82,14 @@
     return _print(args, *response, render.changed_setting)
 
 
+def _print_settings(args: argparse.Namespace, status: int, body: Any) -> int:
+    if status == HTTPStatus.OK and args.name is not None:
+        names = [setting["name"] for setting in body["settings"]]
+        if args.name not in names:
+            status, body = HTTPStatus.BAD_REQUEST, {"error": f"unknown setting {args.name}"}
+    return _print(args, status, body, lambda shown: render.settings(shown, args.name))
+
+
 _COMMANDS: dict[str, Callable[[argparse.Namespace], int]] = {
     "status": _status,
     "zones": _zones,
--- a/petrelthread/cli/test_operator_commands.py
+++ b/petrelthread/cli/test_operator_commands.py
@@ -81,3 +81,26 @@
     requests = stub_responses(monkeypatch, 200, {"version": 3, "settings": []})
     assert main(["settings", "set", "idle_s", "soon"]) == 2
     assert all(method == "GET" for method, _, _ in requests)
+
+
+SETTINGS: dict[str, Any] = {
+    "version": 3,
+    "settings": [
+        {"name": "idle_s", "value": 40.0, "set": True, "least": 5.0, "most": 600.0, "says": "text"}
+    ],
+}
+
+
+@pytest.mark.parametrize("options", [[], ["--json"]])
+def test_unknown_setting_is_an_error_and_a_known_one_is_shown(
+    options: list[str], monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """A mistyped name looked like a setting without a value."""
+    stub_responses(monkeypatch, 200, SETTINGS)
+    assert main(["settings", "get", "idle_t", *options]) == 2
+    shown = capsys.readouterr()
+    assert "idle_t" in shown.err
+    assert not shown.out
+    for name in (["idle_s"], []):
+        assert main(["settings", "get", *name, *options]) == 0
+        assert "idle_s" in capsys.readouterr().out
