Make two tests as strict as their names

Cause: test_requests_share_a_connection_and_a_failing_handler_gives_503 did not look at connections at all; the fault "slow" of test_lost_transactions delays watches together with the transactions, which hides what a quick watch shows of a slow transaction. Change: the server of the first counts accepted connections and must have accepted one. The second has "slow transactions" besides "slow", which stays.

--- a/petrelthread/http/test_server.py
+++ b/petrelthread/http/test_server.py
@@ -16,9 +16,19 @@
     return json_response(200, {"method": method, "target": target, "size": len(body)})
 
 
-async def start_echo_server() -> tuple[asyncio.Server, str]:
-    server = await Server(echo, 100).listen("127.0.0.1", 0)
-    return server, f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+class CountingServer(Server):
+    """Counts the connections that it accepts."""
+
+    accepted = 0
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.accepted += 1
+        await super()._serve(reader, writer)
+
+
+async def start_echo_server(server: Server | None = None) -> tuple[asyncio.Server, str]:
+    listening = await (server or Server(echo, 100)).listen("127.0.0.1", 0)
+    return listening, f"127.0.0.1:{listening.sockets[0].getsockname()[1]}"
 
 
 async def exchange_raw(addr: str, data: bytes) -> bytes:
@@ -33,7 +43,8 @@
 
 def test_requests_share_a_connection_and_a_failing_handler_gives_503() -> None:
     async def main() -> None:
-        server, addr = await start_echo_server()
+        counting = CountingServer(echo, 100)
+        server, addr = await start_echo_server(counting)
         client = Client()
         for size in (0, 10, 60_000):
             response = await client.request(addr, "POST", "/x?y=1", "a" * size)
@@ -41,6 +52,7 @@
             assert orjson.loads(response.body)["size"] == size + 2
         response = await client.request(addr, "GET", "/boom")
         assert response.status == 503  # the handler raised
+        assert counting.accepted == 1
         server.close()
 
     asyncio.run(main())
--- a/tests/test_lost_transactions.py
+++ b/tests/test_lost_transactions.py
@@ -20,15 +20,22 @@
 
 
 def delay_or_lose_transactions(simulation: Simulation, fault: str) -> None:
-    """Set the delivery rule if the fault concerns transactions."""
+    """Set the delivery rule if the fault concerns transactions, or all requests ("slow").
+
+    With "slow transactions", watches stay quick: other controllers learn of a write as soon as its
+    writer, and no sooner.
+    """
     if fault in ("lost", "late"):
         simulation.network.delivery_rule = lose_transaction_responses(
             simulation, 0.3, fault == "late"
         )
-    elif fault == "slow":
-        simulation.network.delivery_rule = lambda source, addr, method, target, body: (
-            (simulation.random.uniform(0.0, 0.8), False) if addr == "state:1" else (0.0, False)
-        )
+    elif fault in ("slow", "slow transactions"):
+
+        def rule(source: str, addr: str, method: str, target: str, body: Any) -> Any:
+            is_slow = addr == "state:1" if fault == "slow" else target == "/multi"
+            return (simulation.random.uniform(0.0, 0.8) if is_slow else 0.0), False
+
+        simulation.network.delivery_rule = rule
 
 
 async def restart_controllers(simulation: Simulation, fault: str) -> None:
@@ -65,7 +72,7 @@
             return
 
 
-FAULTS = ["none", "lost", "late", "slow", "leader ends", "rolling restart"]
+FAULTS = ["none", "lost", "late", "slow", "slow transactions", "leader ends", "rolling restart"]
 
 
 @pytest.mark.parametrize("fault", FAULTS)
