Define the allowance for clock drift once

What callers saw: nothing; a leader's lease could count as valid 1.5 microseconds too long. Cause: CLOCK_DRIFT_FACTOR was defined four times, 1.001 in leadership and 1.002 in settings, store and fleet. Clocks at opposite extremes of PROTOCOL's 0.05% need 1.0005 / 0.9995 = 1.001001. Change: settings.CLOCK_DRIFT_FACTOR, 1.002, is used everywhere, and so is CANCELLATION_MARGIN_S, which stood twice. A leader's lease ends 3 ms earlier at its holder.

--- a/petrelthread/fleet/unacknowledged_starts.py
+++ b/petrelthread/fleet/unacknowledged_starts.py
@@ -52,7 +52,8 @@
 from enum import Enum
 from typing import NamedTuple
 
-from petrelthread.fleet.worker_lease import CLOCK_DRIFT_FACTOR, longest_lease_s
+from petrelthread.fleet.worker_lease import longest_lease_s
+from petrelthread.settings import CANCELLATION_MARGIN_S, CLOCK_DRIFT_FACTOR
 from petrelthread.state import Attempt, OperationState
 
 log = logging.getLogger(__name__)
@@ -67,8 +68,6 @@
 # Age, in lease durations, at which a start that is still wanted is invalidated. Until then, the
 # start only delays the forget command for its attempt.
 STALE_AFTER_LEASES = 4.0
-# The part of the cancellation deadline that ``Settings.lease_grace_s`` leaves for messages.
-CANCELLATION_MARGIN_S = 3.0
 
 
 class StartKey(NamedTuple):
--- a/petrelthread/fleet/worker_lease.py
+++ b/petrelthread/fleet/worker_lease.py
@@ -12,10 +12,10 @@
 
 from petrelthread.fleet.machine import Machine
 from petrelthread.fleet.machine_registry import MachineRegistry
+from petrelthread.settings import CLOCK_DRIFT_FACTOR
 
 log = logging.getLogger(__name__)
 
-CLOCK_DRIFT_FACTOR = 1.002  # maximum ratio of a duration on a worker's clock to one on this clock
 LEASE_MARGIN_S = 0.5
 # Losses of a worker's lease less than this many lease durations apart count as consecutive.
 REPEATED_LOSS_WINDOW_LEASES = 1.5
--- a/petrelthread/leadership/leader_lease.py
+++ b/petrelthread/leadership/leader_lease.py
@@ -5,13 +5,12 @@
 import asyncio
 from dataclasses import dataclass
 
+from petrelthread.settings import CLOCK_DRIFT_FACTOR
 from petrelthread.store import StateClient
 
 LEASE_TTL_S = 3.0
 RENEW_INTERVAL_S = 0.75
 RENEW_TIMEOUT_S = 0.9
-# The state service's clock may run faster than this controller's by this factor.
-CLOCK_DRIFT_FACTOR = 1.001
 
 
 @dataclass(slots=True)
--- a/petrelthread/leadership/test_leadership_state.py
+++ b/petrelthread/leadership/test_leadership_state.py
@@ -8,8 +8,9 @@
 
 from petrelthread.http import ClientResponse
 from petrelthread.leadership import Role
-from petrelthread.leadership.leader_lease import CLOCK_DRIFT_FACTOR, LEASE_TTL_S, LeaderLease
+from petrelthread.leadership.leader_lease import LEASE_TTL_S, LeaderLease
 from petrelthread.leadership.leadership_state import LeadershipState
+from petrelthread.settings import CLOCK_DRIFT_FACTOR
 from petrelthread.store import StateClient, TokenBucket, WatchCache
 from tests.virtual_time import run_in_virtual_time
 
@@ -94,3 +95,13 @@
         assert not state.may_answer_workers
 
     run_in_virtual_time(scenario())
+
+
+MAX_CLOCK_DRIFT = 0.0005  # of each process's clock, according to PROTOCOL
+
+
+def test_lease_expires_at_its_holder_before_it_expires_at_the_state_service() -> None:
+    """The holder's clock runs as slowly as it may, and that of the state service as fast."""
+    held_s = LeaderLease(lease_id=1, renewed_at=0.0).expires_at
+    duration_s = held_s / (1.0 - MAX_CLOCK_DRIFT)
+    assert duration_s * (1.0 + MAX_CLOCK_DRIFT) <= LEASE_TTL_S
--- a/petrelthread/settings/model.py
+++ b/petrelthread/settings/model.py
@@ -9,7 +9,9 @@
 import msgspec
 
 UNLIMITED = 1e12  # above any real limit; finite, so that shares and counts stay finite
-CLOCK_DRIFT_FACTOR = 1.002  # maximum ratio of a duration on another clock to one on this clock
+# Maximum ratio of a duration on another process's clock to the same duration on this clock.
+# PROTOCOL allows a drift of 0.05% for each of the two.
+CLOCK_DRIFT_FACTOR = 1.002
 CANCELLATION_MARGIN_S = 3.0  # part of the cancellation deadline reserved for messages
 
 
--- a/petrelthread/store/write_quota.py
+++ b/petrelthread/store/write_quota.py
@@ -10,8 +10,9 @@
 
 from typing import NamedTuple
 
+from petrelthread.settings import CLOCK_DRIFT_FACTOR
+
 LOAN_DURATION_S = 3.0
-CLOCK_DRIFT_FACTOR = 1.002  # how much faster the lender's clock may run than the borrower's
 # Share of the base rate that is never lent, because user requests come in bursts.
 RETAINED_SHARE = 0.5
 MIN_WRITE_RATE = 0.2  # writes per second that a controller may always make
