Define once how long a worker may take to find another controller

Cause: the 5 s stood in fleet/zone_monitor.py and provisioning/boot_monitor.py; the 4 s of fleet/failure_detector.py have nearly the same name. Change: protocol.LEADER_DISCOVERY_S, derived from PROTOCOL (4 s for a response, 1 s to the next try), replaces the two. The 4 s stay: they are added to a timeout that has a margin of 4 s already, and their comment says so. No safety argument needs either value: returns, late boots and zones that are cut off are decisions of cost; what restarts elsewhere waits for a lease or a confirmed return.

--- a/petrelthread/fleet/failure_detector.py
+++ b/petrelthread/fleet/failure_detector.py
@@ -31,7 +31,8 @@
 MAX_HEARTBEAT_TRANSIT_S = 0.75
 MAX_FAILED_PROBES = 2  # consecutive failed probes after which a machine's replicas are replaced
 # Added to the heartbeat timeout of workers that this leader has not answered yet: they may still be
-# looking for the new leader.
+# looking for the new leader. The timeout itself has a margin (``SchedulingLoop``); together they
+# exceed ``protocol.LEADER_DISCOVERY_S``.
 LEADER_DISCOVERY_MARGIN_S = 4.0
 # If heartbeats of more machines than this, and of more than half, are overdue, the fault is
 # probably on this controller's side.
--- a/petrelthread/fleet/zone_monitor.py
+++ b/petrelthread/fleet/zone_monitor.py
@@ -5,11 +5,12 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from petrelthread import protocol
 from petrelthread.fleet.machine import Health, Machine
 
 MISSED_HEARTBEATS = 2.5  # heartbeat intervals without any heartbeat that make a zone unreachable
-LEADER_DISCOVERY_S = 5.0  # added to the timeout while workers look for a new leader
-# The timeout is longer for this many LEADER_DISCOVERY_S after an election or a resumption.
+# After an election or a resumption, the timeout is longer by LEADER_DISCOVERY_S for this many times
+# that duration.
 LEADER_DISCOVERY_PERIODS = 3
 # In a zone without controllers, missing heartbeats of fewer machines than this are no evidence.
 MIN_MACHINES_AS_EVIDENCE = 4
@@ -54,8 +55,8 @@
         last_seen_at, expected = _last_seen_by_zone(machines)
         restored = self._restore(last_seen_at, controllers, now)
         timeout_s = self._timeout_s
-        if now - observing_since < LEADER_DISCOVERY_PERIODS * LEADER_DISCOVERY_S:
-            timeout_s += LEADER_DISCOVERY_S
+        if now - observing_since < LEADER_DISCOVERY_PERIODS * protocol.LEADER_DISCOVERY_S:
+            timeout_s += protocol.LEADER_DISCOVERY_S
         unreachable: set[int] = set()
         for zone, count in expected.items():
             if zone in self.cut_off_since or now - last_seen_at[zone] <= timeout_s:
--- a/petrelthread/protocol/__init__.py
+++ b/petrelthread/protocol/__init__.py
@@ -53,6 +53,7 @@
 from petrelthread.protocol.workers import (
     COMMAND_PATH,
     HEARTBEAT_PATH,
+    LEADER_DISCOVERY_S,
     STATUS_PATH,
     Command,
     ExitCause,
@@ -76,6 +77,7 @@
     "HEARTBEAT_PATH",
     "JOBS_PATH",
     "JOB_ID",
+    "LEADER_DISCOVERY_S",
     "MACHINES_PATH",
     "MACHINE_FAILED",
     "MAX_BODY_BYTES",
--- a/petrelthread/protocol/workers.py
+++ b/petrelthread/protocol/workers.py
@@ -14,6 +14,10 @@
 COMMAND_PATH = "/do"
 STATUS_PATH = "/show"
 
+# How long a worker may take to try another controller: it waits 4 s for the response to a
+# heartbeat, and tries the next controller 1 s later.
+LEADER_DISCOVERY_S = 5.0
+
 
 class TaskState(StrEnum):
     """State of a task on its machine."""
--- a/petrelthread/provisioning/boot_monitor.py
+++ b/petrelthread/provisioning/boot_monitor.py
@@ -12,7 +12,6 @@
 # the cloud's list of machines.
 BOOT_TIMEOUT_LIST_LAGS = 2.0
 UNKNOWN_TYPE_BOOT_S = 60.0  # assumed boot time if the machine type is unknown
-LEADER_DISCOVERY_S = 5.0  # time for workers to find a new leader, added to two heartbeat intervals
 
 
 class BootMonitor:
@@ -25,7 +24,8 @@
         self._machine_types = machine_types
         self._list_lag_s = settings.cluster.cloud.list_lag_s
         # Time within which machines that are up send their first heartbeat to a new leader.
-        self._first_heartbeat_s = 2 * settings.cluster.workers.report_s + LEADER_DISCOVERY_S
+        report_s = settings.cluster.workers.report_s
+        self._first_heartbeat_s = 2 * report_s + protocol.LEADER_DISCOVERY_S
 
     def is_late(self, machine: Machine, now: float) -> bool:
         """Whether the machine has been booting for so long that it no longer counts as capacity.
