--- a/petrelthread/scheduling/test_claimed_starts.py
+++ b/petrelthread/scheduling/test_claimed_starts.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
 from typing import Any
 
 import orjson
@@ -16,18 +15,10 @@
 from petrelthread.state import RECORDS_PER_EPOCH, OperationState, epoch_base_number, transition
 from tests.scheduling_cluster import EPOCH, OVERDUE_S, Cluster, cluster_test, now
 from tests.simulation import job_spec
-from tests.virtual_time import run_in_virtual_time
 
 JOB = "wk-000001"
 
 
-def run(scenario: Callable[[Cluster], Awaitable[None]]) -> None:
-    async def main() -> None:
-        await scenario(Cluster())
-
-    run_in_virtual_time(main())
-
-
 def heartbeat_of(machine: str, zone: str, running: list[str]) -> protocol.WorkerHeartbeat:
     """A worker's heartbeat in this epoch that lists the tasks in ``running`` as attempt 7."""
     legs = [{"leg": leg, "try": 7, "status": "running"} for leg in running]
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -313,6 +313,12 @@
                 return running
             await asyncio.sleep(0.1)
 
+    async def machines_of_running_tasks(self, count: int) -> set[str]:
+        """Wait until at least ``count`` tasks run, and return the names of their machines."""
+        return {
+            self.worker_running(task_id).name for task_id in await self.wait_until_running(count)
+        }
+
     def worker_running(self, task_id: str) -> Worker:
         name = next(iter(self.checker.machines_by_task[task_id]))
         worker: Worker = self.cloud.machines[name].worker
--- a/tests/test_process_pause.py
+++ b/tests/test_process_pause.py
@@ -52,10 +52,7 @@
     async def scenario(simulation: Simulation) -> None:
         simulation.run_s = 60.0
         await simulation.submit(job_spec("wk-000001", 6, estimated_run_s=60.0))
-        machines = {
-            simulation.worker_running(task_id).name
-            for task_id in await simulation.wait_until_running(6)
-        }
+        machines = await simulation.machines_of_running_tasks(6)
         old = await simulation.wait_for_leader()
         simulation.state_service.set_outage(True)
         await simulation.pause(old, 14.0)
@@ -73,10 +70,7 @@
     async def scenario(simulation: Simulation) -> None:
         simulation.run_s = 60.0
         await simulation.submit(job_spec("wk-000001", 6, estimated_run_s=60.0))
-        machines = {
-            simulation.worker_running(task_id).name
-            for task_id in await simulation.wait_until_running(6)
-        }
+        machines = await simulation.machines_of_running_tasks(6)
         old = await simulation.wait_for_leader()
         await simulation.pause(old, 35.0)
         assert machines <= set(simulation.cloud.machines)
