Split the largest product module into groups, targets and plan

Change: demand_groups.py and core_targets.py take the first two, as functions without the planner's state; moved code is unchanged apart from names that are no longer private.

--- a/petrelthread/provisioning/planner.py
+++ b/petrelthread/provisioning/planner.py
@@ -11,6 +11,12 @@
 from typing import NamedTuple
 
 from petrelthread.protocol import MAX_MACHINES_PER_SCALE_OUT
+from petrelthread.provisioning.core_targets import (
+    CoreTargets,
+    core_targets,
+    on_demand_time_factor,
+)
+from petrelthread.provisioning.demand_groups import DemandGroup, UsableCores, ordered_groups
 from petrelthread.provisioning.plan import (
     CORES_EPSILON,
     Demand,
@@ -21,8 +27,6 @@
     ScaleOutRequest,
 )
 
-# Ratio of on-demand to spot price of a core that ``ProvisioningOptions`` assumes.
-DEFAULT_PRICE_RATIO = 2.2
 UNTRIED_OFFER_YIELD = 0.5  # share of the request that an untried offer is expected to fill
 # Multiple of the lacking cores that a machine may have if a smaller one costs less.
 MAX_OVERSIZE = 2.0
@@ -53,7 +57,7 @@
         service_reserve_cores: Cores to keep for replicas that may arrive, or be lost with a zone.
     """
     planner = _Planner(owned, offers, options, max_calls)
-    groups = _ordered_groups(demands, offers)
+    groups = ordered_groups(demands, offers)
     permanent_groups = sum(group.representative.permanent for group in groups)
     for group in groups:
         representative = group.representative
@@ -67,128 +71,6 @@
     return planner.finish(not groups, reserve_cores)
 
 
-def tasks_per_machine(demand: Demand, machine: Offer | OwnedMachine) -> int:
-    """How many tasks of the demand fit on an otherwise empty machine."""
-    if demand.machine_types is not None and machine.machine_type not in demand.machine_types:
-        return 0
-    if demand.zone is not None and machine.zone != demand.zone:
-        return 0
-    if machine.spot and not demand.spot_allowed:
-        return 0
-    count = math.inf
-    for required, available in (
-        (demand.cores, machine.cores),
-        (demand.accelerators, machine.accelerators),
-        (demand.ram_gb, machine.ram_gb),
-    ):
-        if required > 0:
-            count = min(count, (available + CORES_EPSILON) // required)
-    return 0 if count is math.inf else int(count)
-
-
-class _DemandGroup(NamedTuple):
-    """Demands with equal constraints on machines, represented by the largest one."""
-
-    representative: Demand
-    demands: list[Demand]
-
-    @property
-    def usable_cores(self) -> float:
-        """Cores that the group's tasks could use now."""
-        return sum(d.tasks * d.cores for d in self.demands)
-
-    @property
-    def pending_cores(self) -> float:
-        """Cores of the jobs that still have pending tasks."""
-        return sum(d.tasks * d.cores for d in self.demands if d.has_pending)
-
-
-def _ordered_groups(demands: list[Demand], offers: list[Offer]) -> list[_DemandGroup]:
-    """Group demands by constraints; permanent ones first, then those with the fewest offers."""
-    by_eligibility: dict[
-        tuple[frozenset[int] | None, int | None, bool, bool, bool], list[Demand]
-    ] = {}
-    for demand in demands:
-        eligibility = (
-            demand.machine_types,
-            demand.zone,
-            demand.spot_allowed,
-            demand.accelerators > 0,
-            demand.permanent,
-        )
-        by_eligibility.setdefault(eligibility, []).append(demand)
-    groups = [
-        _DemandGroup(max(members, key=lambda d: d.tasks * d.cores), members)
-        for members in by_eligibility.values()
-    ]
-    groups.sort(
-        key=lambda group: (
-            not group.representative.permanent,
-            sum(tasks_per_machine(group.representative, offer) > 0 for offer in offers),
-            not group.representative.spot_allowed,
-        )
-    )
-    return groups
-
-
-class _UsableCores:
-    """Cores of a machine that tasks like the representative demand can use, cached by offer."""
-
-    def __init__(self, representative: Demand) -> None:
-        self._representative = representative
-        # Keys are plain tuples: building a NamedTuple for each lookup would slow down large plans.
-        self._cores: dict[tuple[int, int, bool], float] = {}
-
-    def on(self, machine: Offer | OwnedMachine) -> float:
-        """Usable cores of the machine; 0 if no task fits."""
-        key = (machine.machine_type, machine.zone, machine.spot)
-        cores = self._cores.get(key)
-        if cores is None:
-            tasks = tasks_per_machine(self._representative, machine)
-            cores = self._cores[key] = tasks * self._representative.cores
-        return cores
-
-
-def _on_demand_time_factor(
-    offers: list[Offer], owned: list[OwnedMachine], usable: _UsableCores
-) -> float:
-    """Factor by which a backlog may take longer before on-demand machines are worth their price.
-
-    It is the ratio of on-demand to spot price, divided by the ratio that the options assume.
-    """
-    machines: list[Offer | OwnedMachine] = [*offers, *owned]
-    spot = [m.price / m.cores for m in machines if m.spot and usable.on(m) > 0]
-    on_demand = [m.price / m.cores for m in machines if not m.spot and usable.on(m) > 0]
-    if not spot or not on_demand:
-        return 1.0
-    return max(1.0, min(on_demand) / min(spot) / DEFAULT_PRICE_RATIO)
-
-
-def _cores_to_finish_in_time(
-    demands: list[Demand], options: ProvisioningOptions, time_factor: float = 1.0
-) -> float:
-    """Cores that finish each job, and all jobs due before it, within its time limit.
-
-    ``time_factor`` multiplies every time limit.
-    """
-    needed = work = 0.0
-    for demand in sorted(demands, key=lambda d: (d.best_effort, d.deadline_in_s)):
-        work += demand.work_s * demand.cores
-        due_s = max(options.min_due_s, demand.deadline_in_s * options.due_share)
-        drain_s = options.best_effort_drain_s if demand.best_effort else options.on_demand_drain_s
-        needed = max(needed, work / (min(due_s, drain_s) * time_factor))
-    return needed
-
-
-class _CoreTargets(NamedTuple):
-    """Target numbers of cores for a group of demands."""
-
-    spot: float  # total, up to which spot machines (or the only allowed kind) are scaled out
-    on_demand: float  # total, up to which on-demand machines are scaled out if spot falls short
-    retained_on_demand: float  # total, up to which owned on-demand machines are not surplus
-    schedulable: float  # on machines that accept new tasks
-
-
 class _PricedOffer(NamedTuple):
     price_per_core: float
     offer: Offer
@@ -224,10 +106,13 @@
         self._options = options
         self._max_calls = max_calls
 
-    def provision(self, group: _DemandGroup, reserve_cores: float) -> None:
+    def provision(self, group: DemandGroup, reserve_cores: float) -> None:
         """Assign owned machines to the group, and plan scale-outs for the cores it lacks."""
-        usable = _UsableCores(group.representative)
-        targets = self._targets(group, reserve_cores, usable)
+        usable = UsableCores(group.representative)
+        time_factor = 1.0
+        if not group.representative.permanent:
+            time_factor = on_demand_time_factor(self._offers, self._owned, usable)
+        targets = core_targets(group, reserve_cores, time_factor, self._options)
         spot_allowed = group.representative.spot_allowed
         assigned_cores = self._assign_owned(spot_allowed, targets, usable)
         self._plan_scale_outs(spot_allowed, targets, assigned_cores, usable)
@@ -249,35 +134,7 @@
         timeout_s = options.spot_idle_s if machine.spot else options.on_demand_idle_s
         return machine.idle_s is not None and machine.idle_s >= timeout_s
 
-    def _targets(
-        self, group: _DemandGroup, reserve_cores: float, usable: _UsableCores
-    ) -> _CoreTargets:
-        """Core targets. The reserve is added to the cores that the group could use now."""
-        options = self._options
-        demands = group.demands
-        usable_cores = group.usable_cores
-        # Only jobs with pending tasks need cores for new tasks. A target for all running tasks
-        # would keep the last long tasks spread over far more machines than they need.
-        schedulable_cores = min(usable_cores, group.pending_cores) + reserve_cores
-        if group.representative.permanent:
-            wanted = usable_cores + reserve_cores
-            return _CoreTargets(wanted, wanted, wanted, schedulable_cores)
-        time_factor = _on_demand_time_factor(self._offers, self._owned, usable)
-        work = sum(d.work_s * d.cores for d in demands)
-        # A task needs all its cores, however little work is left.
-        min_cores = min(usable_cores, max(d.cores for d in demands))
-        spot = max(min_cores, min(usable_cores, work / options.spot_drain_s)) + reserve_cores
-        in_time = _cores_to_finish_in_time(demands, options, time_factor)
-        on_demand = max(min_cores, min(usable_cores, in_time))
-        in_shorter_time = _cores_to_finish_in_time(
-            demands, options, time_factor * options.keep_time_factor
-        )
-        retained = max(min(usable_cores, in_shorter_time), on_demand)
-        return _CoreTargets(spot, on_demand, retained, schedulable_cores)
-
-    def _assign_owned(
-        self, spot_allowed: bool, targets: _CoreTargets, usable: _UsableCores
-    ) -> float:
+    def _assign_owned(self, spot_allowed: bool, targets: CoreTargets, usable: UsableCores) -> float:
         """Assign owned machines to a group, and return the cores that it has.
 
         Machines beyond the target for schedulable cores count as capacity, but stay unassigned:
@@ -313,9 +170,9 @@
     def _plan_scale_outs(
         self,
         spot_allowed: bool,
-        targets: _CoreTargets,
+        targets: CoreTargets,
         assigned_cores: float,
-        usable: _UsableCores,
+        usable: UsableCores,
     ) -> None:
         """Plan calls for the cores that a group lacks, the cheapest core first."""
         priced = self._priced_offers(usable)
@@ -340,7 +197,7 @@
             assigned_cores += count * cores * expected_yield
             self._add_calls(offer, count)
 
-    def _priced_offers(self, usable: _UsableCores) -> list[_PricedOffer]:
+    def _priced_offers(self, usable: UsableCores) -> list[_PricedOffer]:
         """Offers that a group can use, ordered by price of a usable core."""
         priced = []
         for offer in self._offers:
