--- a/tests/test_reelection.py
+++ b/tests/test_reelection.py
@@ -61,9 +61,9 @@
     simulation.state_service.refused_controllers.clear()
 
 
-async def expect_done(simulation: Simulation, within_s: float = DONE_WITHIN_S) -> None:
+async def expect_done(simulation: Simulation) -> None:
     """Query the job on all controllers; one must report it as done in time."""
-    deadline = now() + within_s
+    deadline = now() + DONE_WITHIN_S
     while simulation.checker.statuses.get(JOB_ID) != "done":
         assert now() < deadline, simulation.checker.statuses
         await simulation.poll()
