--- a/review/lib/cloud.py
+++ b/review/lib/cloud.py
@@ -6,7 +6,6 @@
 import json
 import random
 import time
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Any
@@ -46,8 +45,8 @@
 
     lines: list[str] = field(default_factory=list)
     started_at: float = field(default_factory=time.monotonic)
-    on_start: list[Callable[[str, str, float], None]] = field(default_factory=list)
-    on_end: list[Callable[[str, str, float], None]] = field(default_factory=list)
+    on: dict[str, list[str]] = field(default_factory=dict)  # machines by task
+    twice: list[str] = field(default_factory=list)  # tasks started while on another machine
     starts: dict[str, int] = field(default_factory=dict)  # starts by job
     first_start: dict[str, float] = field(default_factory=dict)
     recorded_runs: int = 0
@@ -58,6 +57,10 @@
         """Seconds since the start of the run."""
         return time.monotonic() - self.started_at
 
+    def is_on(self, leg: str, machine: str) -> bool:
+        """Whether a task is on a machine, with its image."""
+        return machine in self.on.get(leg, [])
+
     def record_run(self, text: str) -> None:
         """Add a line about a task; only the first ones of very many."""
         self.recorded_runs += 1
@@ -83,6 +86,7 @@
         self.fetching: dict[str, float] = {}  # end of the fetch by image
         self.up = False
         self.node = random.randrange(len(cloud.nodes))
+        self.carried_out: list[bytes] = []  # direct commands
         self.renewed_at = 0.0  # when the last answered report was sent, or the session began
         self.rented_at = time.monotonic()
         self._server: asyncio.Server | None = None
@@ -128,13 +132,14 @@
         events.starts[job_id] = events.starts.get(job_id, 0) + 1
         events.first_start.setdefault(job_id, events.now())
         events.record_run(f"{leg} starts on {self.name}")
-        for callback in events.on_start:
-            callback(leg, self.name, events.now())
+        machines = events.on.setdefault(leg, [])
+        if machines:
+            events.twice.append(f"{leg} on {self.name} while on {machines}")
+        machines.append(self.name)
 
     def _ended(self, leg: str) -> None:
         self.cloud.events.record_run(f"{leg} has ended on {self.name}")
-        for callback in self.cloud.events.on_end:
-            callback(leg, self.name, self.cloud.events.now())
+        self.cloud.events.on[leg].remove(self.name)
 
     def _advance(self) -> None:
         now = time.monotonic()
@@ -274,6 +279,7 @@
         if content["baton"] > self.baton:
             self.baton = content["baton"]
         self._execute(content["orders"])
+        self.carried_out.append(body)
         return 200, self.report()
 
     async def _report_forever(self) -> None:
