--- a/review/lib/site_standin.py
+++ b/review/lib/site_standin.py
@@ -162,11 +162,16 @@
     return [f"[{name}]", *(f"{key} = {_toml(value)}" for key, value in values.items())]
 
 
-def free_port() -> int:
-    """A port that is free now."""
-    with socket.socket() as bound:
-        bound.bind((HOST, 0))
-        return int(bound.getsockname()[1])
+def reserve_port() -> socket.socket:
+    """Bind a free port.
+
+    While the socket is open and does not listen, a controller can listen on the port, and nobody
+    else gets it.
+    """
+    bound = socket.socket()
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    bound.bind((HOST, 0))
+    return bound
 
 
 class Controller:
@@ -224,8 +229,10 @@
             self.events.record,
         )
         self.names = [f"perch-{index}" for index in range(3)]
-        self.public = {name: f"{HOST}:{free_port()}" for name in self.names}
-        self._peer = {name: f"{HOST}:{free_port()}" for name in self.names}
+        self._reserved = [reserve_port() for _ in range(2 * len(self.names))]
+        addresses = [f"{HOST}:{bound.getsockname()[1]}" for bound in self._reserved]
+        self.public = dict(zip(self.names, addresses[: len(self.names)], strict=True))
+        self._peer = dict(zip(self.names, addresses[len(self.names) :], strict=True))
         self.cloud = Cloud(
             [
                 {**each, "roosts": [zone for sku, zone in site.capacity if sku == each["sku"]]}
@@ -416,6 +423,8 @@
         for controller in self.controllers.values():
             controller.kill()
         self.cloud.close()
+        for bound in self._reserved:
+            bound.close()
         record.write_text("\n".join(self.events.lines) + "\n")
         keep = os.environ.get("KEEP_LOGS")
         if keep:
