--- a/review/lib/site_standin.py
+++ b/review/lib/site_standin.py
@@ -322,8 +322,8 @@
         return None if found is None else str(found[0]["node"])
 
     @property
-    def elections(self) -> int:
-        """The epoch as stored: each election raises it."""
+    def token(self) -> int:
+        """The highest token as stored: each election raises it, and now and then a leader does."""
         found = self.state.keys.get("pt/epoch")
         return 0 if found is None else int(found[0])
 
@@ -436,13 +436,18 @@
     """Run a case within the time limit; return its exit code, 2 if it could not run."""
 
     async def whole() -> int:
+        loop = asyncio.get_running_loop()
         # Connections that are open at the end are no matter of the case.
-        asyncio.get_running_loop().set_exception_handler(lambda _loop, _context: None)
+        loop.set_exception_handler(lambda _loop, _context: None)
+        current = asyncio.current_task()
+        if current is not None:  # also when the case is ended from outside, it ends its processes
+            for number in (signal.SIGTERM, signal.SIGINT):
+                loop.add_signal_handler(number, current.cancel)
         try:
             async with asyncio.timeout(limit_s):
                 await site.start()
                 return int(await case(site))
-        except Exception as error:  # the case could not run
+        except (Exception, asyncio.CancelledError) as error:  # the case could not run
             site.events.record(f"the case could not run: {type(error).__name__}: {error}")
             return 2
         finally:
