--- a/review/2/case.py
+++ b/review/2/case.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "lib"))
+sys.path.insert(0, str(HERE.parent))
 
 from http_standin import request  # noqa: E402
 from site_standin import VELOTUNIS, Site, job_spec, run_case, trouble  # noqa: E402
--- a/review/lib/site_standin.py
+++ b/review/site_standin.py
@@ -19,11 +19,11 @@
 from pathlib import Path
 from typing import Any
 
-from cloud import HOST, Cloud, Events, Job
+from cloud_standin import HOST, Cloud, Events, Job
 from http_standin import NoAnswerError, request, serve
-from state import StateService
+from state_standin import StateService
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 SUBMIT_TIMEOUT_S, POLL_TIMEOUT_S = 5.0, 2.0
 
 
