Log the token of executed direct starts and of forget commands

The logs could not tell under which token a worker had executed a direct start, and under which it was told to forget the attempt. Debug level only.

--- a/petrelthread/fleet/command_dispatcher.py
+++ b/petrelthread/fleet/command_dispatcher.py
@@ -113,7 +113,8 @@
         clock = asyncio.get_running_loop().time
         for attempt in starting:
             fleet.on_start_sent(attempt, machine, clock())
-        body = protocol.command_request(fleet.fencing_token, machine.incarnation, commands)
+        token = fleet.fencing_token
+        body = protocol.command_request(token, machine.incarnation, commands)
         machine.commands_in_flight += 1
         try:
             response = await self._request(
@@ -131,6 +132,15 @@
             return None
         for attempt in starting:
             fleet.unacknowledged_starts.on_acknowledged(attempt)
+            log.debug(
+                "machine %s: status %d for the direct start of %s/%d attempt %d with token %d",
+                machine.name,
+                response.status,
+                attempt.job.id,
+                attempt.task,
+                attempt.number,
+                token,
+            )
         return response
 
     def _starts_that_may_be_sent(self, machine: Machine, starts: list[Attempt]) -> list[Attempt]:
--- a/petrelthread/fleet/command_planner.py
+++ b/petrelthread/fleet/command_planner.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import NamedTuple
 
 from petrelthread import protocol
@@ -16,6 +17,8 @@
 from petrelthread.fleet.unacknowledged_starts import StartKey, start_key_of
 from petrelthread.state import TASK_FINISHED, Attempt, Job, TaskKey, epoch_of
 
+log = logging.getLogger(__name__)
+
 
 class ListedTasks(NamedTuple):
     """The result of comparing the tasks that a worker lists with the recorded attempts."""
@@ -93,6 +96,13 @@
                 if self._may_forget(machine, job, task, task_report, attempt):
                     task_id = protocol.task_id(job_id, task)
                     commands.append(protocol.ForgetCommand(task_id, task_report.attempt))
+                    log.debug(
+                        "machine %s: forget %s attempt %d with token %d",
+                        machine.name,
+                        task_id,
+                        task_report.attempt,
+                        self._fleet.fencing_token,
+                    )
             elif attempt is None or job.final_status is not None:
                 commands.append(_stop(job_id, task, task_report.attempt))
             elif attempt.stop_requested_at:
