Emulated worker: know each attempt of a task until it is forgotten

The stand-in kept one attempt per task, so an exited attempt vanished from its heartbeats as soon as the task was started there again, and a late copy of the earlier start could run it once more. PROTOCOL: a start has no effect if the worker already has this task and attempt in any state, and an exited task is listed until a forget command.

--- a/petrelthread/emulator/worker.py
+++ b/petrelthread/emulator/worker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterator
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any
@@ -51,7 +52,9 @@
         self.incarnation = 1
         self.sequence_number = 0
         self.fencing_token = 0
-        self.tasks: dict[str, TaskRun] = {}
+        self.tasks: dict[str, TaskRun] = {}  # the newest attempt of each task
+        # Exited attempts of tasks that were started again here, by task, until they are forgotten.
+        self.earlier_attempts: dict[str, dict[int, TaskRun]] = {}
         self.lease_renewed_at = 0.0  # when the last confirmed heartbeat was sent
         self.killed_by_lease = 0
         self._controller_index = 0  # of the controller that gets the heartbeats
@@ -64,7 +67,7 @@
         self.main_task.cancel()
         for task in list(self.tasks):
             self._record_end(task)
-        self.tasks.clear()
+        self._forget_all()
 
     def enforce_lease(self) -> None:
         """Kill all tasks if the lease has expired.
@@ -78,7 +81,7 @@
                 if run.state != protocol.TaskState.EXITED:
                     self.killed_by_lease += 1
                     self._record_end(task)
-            self.tasks.clear()
+            self._forget_all()
             self.incarnation += 1
             self.lease_renewed_at = now
 
@@ -87,7 +90,7 @@
         self.sequence_number += 1
         tasks = [
             {"leg": task, "try": run.attempt, "status": run.state, "cause": run.exit_cause}
-            for task, run in self.tasks.items()
+            for task, run in self._known_attempts()
         ]
         return {
             "perch": self.name,
@@ -163,25 +166,56 @@
             if isinstance(command, protocol.StartCommand):
                 self._accept_start(command)
                 continue
-            run = self.tasks.get(command.task_id)
-            if run is None or run.attempt != command.attempt:
+            run = self._find_attempt(command.task_id, command.attempt)
+            if run is None:
                 continue
             has_ended = run.state == protocol.TaskState.EXITED
             if isinstance(command, protocol.StopCommand) and not has_ended:
                 self.end_task(command.task_id, run, STOPPED_CAUSE)
             elif isinstance(command, protocol.ForgetCommand) and has_ended:
-                del self.tasks[command.task_id]
+                self._forget(command.task_id, command.attempt)
 
     def _accept_start(self, command: protocol.StartCommand) -> None:
         task = command.task_id
-        run = self.tasks.get(task)
-        if run is not None and run.attempt == command.attempt:
+        if self._find_attempt(task, command.attempt) is not None:
             return  # a duplicate of a command that was carried out
-        if run is not None and run.state != protocol.TaskState.EXITED:
-            return
+        run = self.tasks.get(task)
+        if run is not None:
+            if run.state != protocol.TaskState.EXITED:
+                return
+            self.earlier_attempts.setdefault(task, {})[run.attempt] = run
         self.tasks[task] = TaskRun(command.attempt, protocol.TaskState.FETCHING, self._now())
         self._environment.checker.record_start_command(task, self.name, self.fencing_token)
 
+    # ---- known attempts ----------------------------------------------------------------------
+
+    def _known_attempts(self) -> Iterator[tuple[str, TaskRun]]:
+        """All attempts that the worker lists: it knows each one until it is told to forget it."""
+        for task, attempts in self.earlier_attempts.items():
+            for run in attempts.values():
+                yield task, run
+        yield from self.tasks.items()
+
+    def _find_attempt(self, task: str, attempt: int) -> TaskRun | None:
+        newest = self.tasks.get(task)
+        if newest is not None and newest.attempt == attempt:
+            return newest
+        return self.earlier_attempts.get(task, {}).get(attempt)
+
+    def _forget(self, task: str, attempt: int) -> None:
+        newest = self.tasks.get(task)
+        if newest is not None and newest.attempt == attempt:
+            del self.tasks[task]
+            return
+        attempts = self.earlier_attempts[task]
+        del attempts[attempt]
+        if not attempts:
+            del self.earlier_attempts[task]
+
+    def _forget_all(self) -> None:
+        self.tasks.clear()
+        self.earlier_attempts.clear()
+
     # ---- heartbeats --------------------------------------------------------------------------
 
     async def _send_heartbeats(self) -> None:
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -146,6 +146,32 @@
     assert run_in_virtual_time(run()) == []
 
 
+def test_worker_knows_each_attempt_of_a_task_until_it_is_forgotten() -> None:
+    """A repeated start has no effect on a known attempt, and starts a forgotten one again."""
+
+    async def run() -> list[list[int]]:
+        simulation = Simulation()
+        simulation.jobs["wk-000001"] = job_spec("wk-000001", 1)
+        worker = Worker(simulation, machine_description(1, "a"))
+        worker.main_task.cancel()  # the test controls it alone
+
+        async def command(verb: str, attempt: int) -> list[int]:
+            order = {"verb": verb, "leg": "wk-000001/0", "try": attempt}
+            body = {"baton": 1, "flight": 1, "orders": [order]}
+            _, report = await worker.handle("n0", "POST", "/do", body)
+            return [entry["try"] for entry in report["legs"] if entry["status"] == "fetching"]
+
+        started = [await command("launch", 1)]
+        worker.end_task("wk-000001/0", worker.tasks["wk-000001/0"], "stopped")
+        started += [await command("launch", 2), await command("launch", 1)]
+        worker.end_task("wk-000001/0", worker.tasks["wk-000001/0"], "stopped")
+        started += [await command("launch", 1), await command("launch", 2)]
+        await command("forget", 1)
+        return [*started, await command("launch", 2), await command("launch", 1)]
+
+    assert run_in_virtual_time(run()) == [[1], [2], [2], [], [], [], [1]]
+
+
 def test_only_jobs_that_users_poll_count_as_forgotten() -> None:
     """The users of a soak stop polling once they have received the final status."""
 
