Split the decision to raise the token from the tracking of starts

unacknowledged_starts.py had two jobs. token_raise_policy.py now decides when the leader raises its fencing token, start_key.py names an attempt.

--- a/petrelthread/controller/scheduling_loop.py
+++ b/petrelthread/controller/scheduling_loop.py
@@ -74,13 +74,14 @@
 
     async def _invalidate_unacknowledged_starts(self, now: float) -> None:
         """Raise the fencing token if unacknowledged starts must no longer be executed."""
-        starts = self.fleet.unacknowledged_starts
-        reason = starts.raise_reason(self.election.fencing_token, now)
+        policy = self.fleet.token_raise_policy
+        reason = policy.reason(self.election.fencing_token, now)
         if reason is None:
             return
-        log.info("raising the fencing token: %s (%d unacknowledged)", reason.value, starts.count())
+        unacknowledged = self.fleet.unacknowledged_starts.count()
+        log.info("raising the fencing token: %s (%d unacknowledged)", reason.value, unacknowledged)
         await self.claims.run_exclusive(self.election.raise_fencing_token)
-        starts.on_raise_attempted(asyncio.get_running_loop().time())
+        policy.on_raise_attempted(asyncio.get_running_loop().time())
 
     def unresponsive_after_s(self, now: float) -> float:
         """Seconds without a heartbeat after which a machine counts as unresponsive.
--- a/petrelthread/fleet/command_planner.py
+++ b/petrelthread/fleet/command_planner.py
@@ -14,7 +14,7 @@
 from petrelthread import protocol
 from petrelthread.fleet.fleet import Fleet
 from petrelthread.fleet.machine import Machine
-from petrelthread.fleet.unacknowledged_starts import StartKey, start_key_of
+from petrelthread.fleet.start_key import StartKey, start_key_of
 from petrelthread.state import TASK_FINISHED, Attempt, Job, TaskKey, epoch_of
 
 log = logging.getLogger(__name__)
--- a/petrelthread/fleet/fleet.py
+++ b/petrelthread/fleet/fleet.py
@@ -13,6 +13,7 @@
 from petrelthread.fleet.machine import NEVER, Machine
 from petrelthread.fleet.machine_registry import NO_EPOCH, MachineRegistry
 from petrelthread.fleet.task_reconciler import TaskReconciler
+from petrelthread.fleet.token_raise_policy import TokenRaisePolicy
 from petrelthread.fleet.unacknowledged_starts import UnacknowledgedStarts
 from petrelthread.fleet.worker_lease import WorkerLeases
 from petrelthread.state import Attempt, ClusterState, Job
@@ -33,6 +34,7 @@
         resumed_at: When this process last resumed after a pause; event loop time.
         finished_tasks: Finished tasks not yet durably recorded: task indices by job index.
         unacknowledged_starts: Starts that were sent and may still take effect.
+        token_raise_policy: When the fencing token is raised.
         job_failures: Failing jobs and faulty machines.
     """
 
@@ -63,6 +65,9 @@
         self.unacknowledged_starts = UnacknowledgedStarts(
             lease_s, lease_grace_s, callbacks.state_current_as_of
         )
+        self.token_raise_policy = TokenRaisePolicy(
+            lease_s, lease_grace_s, self.unacknowledged_starts
+        )
         self._leases = WorkerLeases(self, lease_s, lease_grace_s)
         self._outcomes = AttemptOutcomes(self, self.unacknowledged_starts, callbacks)
         self.finished_tasks = self._outcomes.finished_tasks
--- a/petrelthread/fleet/task_reconciler.py
+++ b/petrelthread/fleet/task_reconciler.py
@@ -10,7 +10,8 @@
 from petrelthread.fleet.job_failures import JobFailures
 from petrelthread.fleet.machine import Machine
 from petrelthread.fleet.machine_registry import MachineRegistry
-from petrelthread.fleet.unacknowledged_starts import StartKey, UnacknowledgedStarts, start_key_of
+from petrelthread.fleet.start_key import StartKey, start_key_of
+from petrelthread.fleet.unacknowledged_starts import UnacknowledgedStarts
 from petrelthread.state import (
     TASK_PENDING,
     Attempt,
--- a/petrelthread/fleet/test_unacknowledged_starts.py
+++ b/petrelthread/fleet/test_unacknowledged_starts.py
@@ -8,12 +8,8 @@
 
 from petrelthread import protocol
 from petrelthread.fleet import CommandPlanner, FleetCallbacks
-from petrelthread.fleet.unacknowledged_starts import (
-    STALE_AFTER_LEASES,
-    RaiseReason,
-    StartKey,
-    start_key_of,
-)
+from petrelthread.fleet.start_key import StartKey, start_key_of
+from petrelthread.fleet.token_raise_policy import STALE_AFTER_LEASES, RaiseReason
 from petrelthread.protocol import JobStatus
 from petrelthread.state import Attempt, OperationState, transition
 from tests.fleet_builder import (
@@ -40,6 +36,7 @@
         callbacks = FleetCallbacks(state_current_as_of=lambda: self.state_read_at)
         self.fleet = build_fleet(callbacks)
         self.starts = self.fleet.unacknowledged_starts
+        self.raises = self.fleet.token_raise_policy
         self.fleet.on_heartbeat(heartbeat(1), AT, answered=True)
         self.machine, self.attempt = add_attempt(self.fleet, attempt_number(1))
         self.fleet.on_start_sent(self.attempt, self.machine, AT)
@@ -113,23 +110,23 @@
         sent.cancel()
     else:
         sent.attempt.stop_requested_at = AT + 0.5
-    assert sent.starts.raise_reason(EPOCH, AT + 1.0) is None  # its response may still come
+    assert sent.raises.reason(EPOCH, AT + 1.0) is None  # its response may still come
     sent.time_out()
-    assert sent.starts.raise_reason(EPOCH, AT + 2.0) is RaiseReason.UNWANTED
-    assert sent.starts.raise_reason(EPOCH + 1, AT + 2.0) is None  # the token is higher already
-    sent.starts.on_raise_attempted(AT + 2.0)
-    interval_s = sent.starts.raise_interval_s
+    assert sent.raises.reason(EPOCH, AT + 2.0) is RaiseReason.UNWANTED
+    assert sent.raises.reason(EPOCH + 1, AT + 2.0) is None  # the token is higher already
+    sent.raises.on_raise_attempted(AT + 2.0)
+    interval_s = sent.raises.interval_s
     assert 1.0 <= interval_s <= LEASE_S / 2
-    assert sent.starts.raise_reason(EPOCH, AT + 1.9 + interval_s) is None
-    assert sent.starts.raise_reason(EPOCH, AT + 2.1 + interval_s) is RaiseReason.UNWANTED
+    assert sent.raises.reason(EPOCH, AT + 1.9 + interval_s) is None
+    assert sent.raises.reason(EPOCH, AT + 2.1 + interval_s) is RaiseReason.UNWANTED
 
 
 def test_token_is_raised_for_wanted_start_once_it_is_stale(sent: SentStart) -> None:
     """Each raise costs a heartbeat of every worker, and wanted starts do no harm until then."""
     sent.time_out()
     stale_age_s = STALE_AFTER_LEASES * LEASE_S
-    assert sent.starts.raise_reason(EPOCH, AT + stale_age_s - 0.1) is None
-    assert sent.starts.raise_reason(EPOCH, AT + stale_age_s + 0.1) is RaiseReason.STALE
+    assert sent.raises.reason(EPOCH, AT + stale_age_s - 0.1) is None
+    assert sent.raises.reason(EPOCH, AT + stale_age_s + 0.1) is RaiseReason.STALE
 
 
 def test_listed_attempt_needs_no_raise_and_no_forget_before_command_is_invalid(
@@ -141,7 +138,7 @@
         heartbeat(2, tasks=[running(sent.attempt.number)]), AT + 1.0, answered=True
     )
     sent.cancel()
-    assert sent.starts.raise_reason(EPOCH, AT + 2.0) is None
+    assert sent.raises.reason(EPOCH, AT + 2.0) is None
     assert sent.starts.may_answer(sent.machine.index, EPOCH, AT + LEASE_GRACE_S + 1.0)
     stopped = heartbeat(3, tasks=[exited(sent.attempt.number, "stopped")])
     sent.fleet.on_heartbeat(stopped, AT + 2.0, answered=True)
--- a/petrelthread/fleet/unacknowledged_starts.py
+++ b/petrelthread/fleet/unacknowledged_starts.py
@@ -38,8 +38,8 @@
 exited attempt). Two mechanisms keep such a start from taking effect past the cancellation deadline
 of its job:
 
-- ``raise_reason``, called by the scheduling loop: the leader raises its fencing token, which
-  invalidates earlier commands on every machine that receives a heartbeat response;
+- ``TokenRaisePolicy``: the leader raises its fencing token, which invalidates earlier commands on
+  every machine that receives a heartbeat response;
 - ``may_answer``, called by ``HeartbeatHandler``: if the token cannot be raised, the worker's
   heartbeats are not answered, and its lease expires.
 """
@@ -49,39 +49,14 @@
 import logging
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
-from enum import Enum
-from typing import NamedTuple
 
+from petrelthread.fleet.start_key import StartKey, start_key_of
 from petrelthread.fleet.worker_lease import longest_lease_s
 from petrelthread.settings import CANCELLATION_MARGIN_S, CLOCK_DRIFT_FACTOR
 from petrelthread.state import Attempt, OperationState
 
 log = logging.getLogger(__name__)
 
-# Minimum time between two raises of the token, in lease durations. PROTOCOL lets a worker that sees
-# a higher token send a heartbeat immediately, but at most this often.
-RAISE_INTERVAL_LEASES = 0.5
-# Upper bound on that time, as a share of the lease grace period. The rest of the period has to
-# suffice for writing the token and answering heartbeats.
-RAISE_INTERVAL_GRACE_SHARE = 1 / 3
-MIN_RAISE_INTERVAL_S = 1.0
-# Age, in lease durations, at which a start that is still wanted is invalidated. Until then, the
-# start only delays the forget command for its attempt.
-STALE_AFTER_LEASES = 4.0
-
-
-class StartKey(NamedTuple):
-    """Identifies one attempt: the indices of job and task, and the attempt's number."""
-
-    job: int
-    task: int
-    attempt: int
-
-
-def start_key_of(attempt: Attempt) -> StartKey:
-    """Return the key that identifies the attempt on its machine."""
-    return StartKey(attempt.job.index, attempt.task, attempt.number)
-
 
 @dataclass
 class UnacknowledgedStart:
@@ -114,13 +89,6 @@
     return True
 
 
-class RaiseReason(Enum):
-    """Why the fencing token has to be raised; the values are logged."""
-
-    UNWANTED = "starts that are no longer wanted may still be carried out"
-    STALE = "unanswered starts keep attempts from being forgotten"
-
-
 class UnacknowledgedStarts:
     """All direct starts that may still take effect, by machine index."""
 
@@ -138,7 +106,6 @@
         self._lease_s = lease_s
         self._lease_grace_s = lease_grace_s
         self._by_machine: dict[int, dict[StartKey, UnacknowledgedStart]] = {}
-        self._raise_attempted_at = float("-inf")
         self._state_current_as_of = state_current_as_of
         # Starts that could be executed past the cancellation deadline of their job; should stay 0.
         self.past_deadline_count = 0
@@ -238,48 +205,19 @@
         for starts in self._by_machine.values():
             yield from starts.values()
 
+    def unanswered(self, min_token: int = 0) -> Iterator[UnacknowledgedStart]:
+        """Iterate over the unanswered starts whose token is at least ``min_token``."""
+        for start in self._all():
+            if start.unanswered and start.fencing_token >= min_token:
+                yield start
+
     def count(self) -> int:
         """Return how many unanswered starts may still take effect."""
-        return sum(start.unanswered for start in self._all())
+        return sum(1 for _ in self.unanswered())
 
     def oldest_age_s(self, now: float) -> float:
         """Return the age of the oldest unanswered start in seconds; 0 if there is none."""
-        return max((now - start.sent_at for start in self._all() if start.unanswered), default=0.0)
-
-    # ---- raising the token -----------------------------------------------------------------------
-
-    @property
-    def raise_interval_s(self) -> float:
-        """The minimum time between two raises of the token, in seconds.
-
-        Each raise costs two writes to the state service and an extra heartbeat of every worker.
-        """
-        interval_s = min(
-            RAISE_INTERVAL_LEASES * self._lease_s, RAISE_INTERVAL_GRACE_SHARE * self._lease_grace_s
-        )
-        return max(MIN_RAISE_INTERVAL_S, interval_s)
-
-    def raise_reason(self, token: int, now: float) -> RaiseReason | None:
-        """Return why the fencing token, now ``token``, has to be raised; None if it does not.
-
-        A start with a lower token needs no raise: the next heartbeat response that arrives
-        invalidates it.
-        """
-        if now - self._raise_attempted_at < self.raise_interval_s:
-            return None
-        reason = None
-        for start in self._all():
-            if not start.unanswered or start.fencing_token < token:
-                continue
-            if start.is_unwanted:
-                return RaiseReason.UNWANTED
-            if now - start.sent_at > STALE_AFTER_LEASES * self._lease_s:
-                reason = RaiseReason.STALE
-        return reason
-
-    def on_raise_attempted(self, now: float) -> None:
-        """Record the time of a raise of the token, successful or not."""
-        self._raise_attempted_at = now
+        return max((now - start.sent_at for start in self.unanswered()), default=0.0)
 
     # ---- answering heartbeats --------------------------------------------------------------------
 
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -382,7 +382,7 @@
             await simulation.try_to_cancel(f"wk-{n:06d}", leader)
             await asyncio.sleep(simulation.random.uniform(0.2, 2.0))
         raises = node.election.fencing_token - before
-        gap_s = node.fleet.unacknowledged_starts.raise_interval_s
+        gap_s = node.fleet.token_raise_policy.interval_s
         assert simulation.leader == leader
         assert 2 <= raises <= (now() - since) / gap_s + 1
         delayed.others = lambda *request: (0.0, False)
