Forget an exited attempt only with a token above that of its direct start

Cause: a worker carries out a copy of a direct start as long as token and incarnation match and it does not know the attempt. Tracking of the start ended with its answer, and the attempt was then forgotten under the same token.

Why this works: a worker adopts the token of a heartbeat response before it executes its commands, so with a forget command under a higher token there is no moment in which it has forgotten the attempt and accepts the old command. The token is raised once a forget command has been withheld for a lease; a machine gets at most 128 direct starts under tokens that it still accepts, which bounds the exited tasks that a heartbeat lists. The checker now reports each attempt that a worker executes a second time.

--- a/petrelthread/controller/housekeeping.py
+++ b/petrelthread/controller/housekeeping.py
@@ -85,12 +85,13 @@
             starts = self.fleet.unacknowledged_starts
             log.debug(
                 "load: %s; maximum event loop delay %.2f s; fencing token %d;"
-                " %d unacknowledged starts, the oldest %.1f s old",
+                " %d unacknowledged starts, the oldest %.1f s old; %d executed under this token",
                 self.cluster_view.load_summary(),
                 self._max_delay_s,
                 self.election.fencing_token,
                 starts.count(),
                 starts.oldest_age_s(now),
+                self.fleet.executed_starts.count(),
             )
         self._max_delay_s, self._load_logged_at = 0.0, now
 
--- a/petrelthread/controller/scheduling_loop.py
+++ b/petrelthread/controller/scheduling_loop.py
@@ -6,7 +6,7 @@
 import logging
 from dataclasses import dataclass
 
-from petrelthread.fleet import FailureDetector, Fleet, WorkerStatusReader
+from petrelthread.fleet import ROUTINE_REASONS, FailureDetector, Fleet, WorkerStatusReader
 from petrelthread.http import LoadShedder
 from petrelthread.leadership import ClaimWriter, Election
 from petrelthread.pause_detector import PauseDetector
@@ -79,7 +79,10 @@
         if reason is None:
             return
         unacknowledged = self.fleet.unacknowledged_starts.count()
-        log.info("raising the fencing token: %s (%d unacknowledged)", reason.value, unacknowledged)
+        level = logging.DEBUG if reason in ROUTINE_REASONS else logging.INFO
+        log.log(
+            level, "raising the fencing token: %s (%d unacknowledged)", reason.value, unacknowledged
+        )
         await self.claims.run_exclusive(self.election.raise_fencing_token)
         policy.on_raise_attempted(asyncio.get_running_loop().time())
 
--- a/petrelthread/emulator/environment.py
+++ b/petrelthread/emulator/environment.py
@@ -111,7 +111,7 @@
 class TaskObserver(Protocol):
     """Receives the workers' events about tasks, which are identified as ``JOB/INDEX``."""
 
-    def record_start_command(self, task: str, machine: str, token: int) -> None:
+    def record_start_command(self, task: str, attempt: int, machine: str, token: int) -> None:
         """Record that a worker has accepted a start command."""
 
     def record_start(self, task: str, machine: MachineDescription, now: float) -> None:
--- a/petrelthread/emulator/invariant_checker.py
+++ b/petrelthread/emulator/invariant_checker.py
@@ -55,6 +55,7 @@
         self.faults_ended_at: float | None = None
         self.violations: list[str] = []
         self.recorded_tasks: set[str] = set()  # tasks with a start recorded in the state service
+        self._accepted_starts: set[tuple[str, int, str]] = set()  # task, attempt and machine
         self._waiting: dict[str, _WaitingJob] = {}
         self._last_response_at: dict[str, float] = {}
         self._zones: dict[str, str] = {}  # by machine
@@ -79,9 +80,12 @@
                     self.violations.append(f"started when over: {job_id} by {key}")
                 self.recorded_tasks |= {f"{job_id}/{task}" for task in tasks}
 
-    def record_start_command(self, task: str, machine: str, token: int) -> None:
+    def record_start_command(self, task: str, attempt: int, machine: str, token: int) -> None:
         """Check an accepted start command: with a cached image, the task would run at once."""
         now = asyncio.get_running_loop().time()
+        if (task, attempt, machine) in self._accepted_starts:
+            self.violations.append(f"executed again: {task} attempt {attempt} on {machine}")
+        self._accepted_starts.add((task, attempt, machine))
         self._observe(task, f"{machine}: accepted the start of {task}, token {token}")
         at = self.cancelled_at.get(job_id_of(task))
         if at is not None and now > at + self._environment.workers.cancel_s:
--- a/petrelthread/emulator/worker.py
+++ b/petrelthread/emulator/worker.py
@@ -185,7 +185,9 @@
                 return
             self.earlier_attempts.setdefault(task, {})[run.attempt] = run
         self.tasks[task] = TaskRun(command.attempt, protocol.TaskState.FETCHING, self._now())
-        self._environment.checker.record_start_command(task, self.name, self.fencing_token)
+        self._environment.checker.record_start_command(
+            task, command.attempt, self.name, self.fencing_token
+        )
 
     # ---- known attempts ----------------------------------------------------------------------
 
--- a/petrelthread/fleet/__init__.py
+++ b/petrelthread/fleet/__init__.py
@@ -9,7 +9,9 @@
 - when the lease of a worker has certainly expired: ``WorkerLeases.expires_at``;
 - how the tasks of a cancelled job are stopped: ``CommandPlanner`` for listed tasks,
   ``UnacknowledgedStarts`` for starts that may still arrive. The module ``unacknowledged_starts``
-  documents the life cycle of a start.
+  documents the life cycle of a start;
+- when an exited attempt may be forgotten: ``CommandPlanner._may_forget``, by ``ExecutedStarts``;
+- when the fencing token is raised: ``TokenRaisePolicy``.
 """
 
 from petrelthread.fleet.callbacks import FleetCallbacks
@@ -19,10 +21,12 @@
 from petrelthread.fleet.fleet import Fleet
 from petrelthread.fleet.heartbeat_handler import HeartbeatHandler
 from petrelthread.fleet.machine import Health, Machine
+from petrelthread.fleet.token_raise_policy import ROUTINE_REASONS
 from petrelthread.fleet.worker_status_reader import WorkerStatusReader
 from petrelthread.fleet.zone_monitor import ZoneMonitor
 
 __all__ = [
+    "ROUTINE_REASONS",
     "CommandDispatcher",
     "CommandPlanner",
     "FailureDetector",
--- a/petrelthread/fleet/attempt_outcomes.py
+++ b/petrelthread/fleet/attempt_outcomes.py
@@ -8,6 +8,7 @@
 import logging
 
 from petrelthread.fleet.callbacks import FleetCallbacks
+from petrelthread.fleet.executed_starts import ExecutedStarts
 from petrelthread.fleet.machine import Machine
 from petrelthread.fleet.machine_registry import MachineRegistry
 from petrelthread.fleet.unacknowledged_starts import UnacknowledgedStarts
@@ -23,10 +24,12 @@
         self,
         registry: MachineRegistry,
         unacknowledged_starts: UnacknowledgedStarts,
+        executed_starts: ExecutedStarts,
         callbacks: FleetCallbacks,
     ) -> None:
         self._registry = registry
         self._unacknowledged_starts = unacknowledged_starts
+        self._executed_starts = executed_starts
         self._callbacks = callbacks
         # Tasks that have finished but are not yet durably recorded as such: task indices by job
         # index. Sets keep lookups fast for jobs with tens of thousands of tasks.
@@ -45,6 +48,7 @@
         for attempt in lost:
             self.supersede(attempt, reason)
         self._unacknowledged_starts.on_incarnation_ended(machine.index, reason)
+        self._executed_starts.on_incarnation_ended(machine.index)
         return len(lost)
 
     def supersede(self, attempt: Attempt, reason: str) -> None:
--- a/petrelthread/fleet/command_dispatcher.py
+++ b/petrelthread/fleet/command_dispatcher.py
@@ -131,7 +131,10 @@
             self._mark_unanswered(starting, request_sent=True)
             return None
         for attempt in starting:
-            fleet.unacknowledged_starts.on_acknowledged(attempt)
+            if response.status == HTTPStatus.OK:
+                fleet.on_start_executed(attempt)
+            else:
+                fleet.unacknowledged_starts.on_acknowledged(attempt)
             log.debug(
                 "machine %s: status %d for the direct start of %s/%d attempt %d with token %d",
                 machine.name,
@@ -148,11 +151,14 @@
 
         While a start waited for a slot, it may have been sent with a heartbeat response, its job
         may have been cancelled, its worker may have restarted, or this controller may have lost the
-        right to start tasks. ``CommandPlanner`` decides for heartbeat responses.
+        right to start tasks. Starts beyond the limit of ``ExecutedStarts`` are left for heartbeat
+        responses, for which ``CommandPlanner`` decides.
         """
         if not self._may_start_tasks():
             return []
-        return [
+        tracked = self._fleet.unacknowledged_starts.count_on(machine.index)
+        left = self._fleet.executed_starts.direct_starts_left(machine.index, tracked)
+        sendable = [
             attempt
             for attempt in starts
             if attempt.state is OperationState.DISPATCHING
@@ -161,6 +167,7 @@
             and not attempt.stop_requested_at
             and not attempt.job.final_status
         ]
+        return sendable[:left]
 
     def _mark_unanswered(self, starts: list[Attempt], request_sent: bool) -> None:
         """Record that no response came. A request that was sent may still reach the worker."""
--- a/petrelthread/fleet/command_planner.py
+++ b/petrelthread/fleet/command_planner.py
@@ -70,13 +70,13 @@
             now: Event loop time.
             may_start: Whether this leader's view of cancellations is recent enough for starts.
         """
-        commands, recorded = self._for_listed_tasks(machine, heartbeat)
+        commands, recorded = self._for_listed_tasks(machine, heartbeat, now)
         if may_start and not machine.commands_in_flight:
             commands += self._starts(machine, heartbeat, recorded, now)
         return commands
 
     def _for_listed_tasks(
-        self, machine: Machine, heartbeat: protocol.WorkerHeartbeat
+        self, machine: Machine, heartbeat: protocol.WorkerHeartbeat, now: float
     ) -> ListedTasks:
         """Return stop commands for unwanted listed tasks, and forget commands for exited ones."""
         commands: list[protocol.Command] = []
@@ -93,7 +93,10 @@
             if attempt is not None:
                 recorded.add((job.index, task))
             if task_report.state == protocol.TaskState.EXITED:
-                if self._may_forget(machine, job, task, task_report, attempt):
+                key = StartKey(job.index, task, task_report.attempt)
+                if self._is_settled(job, task, task_report, attempt) and self._may_forget(
+                    machine, key, now
+                ):
                     task_id = protocol.task_id(job_id, task)
                     commands.append(protocol.ForgetCommand(task_id, task_report.attempt))
                     log.debug(
@@ -109,26 +112,25 @@
                 commands.append(_stop(job_id, task, attempt.number, job.grace_period_s))
         return ListedTasks(commands, recorded)
 
-    def _may_forget(
-        self,
-        machine: Machine,
-        job: Job,
-        task: int,
-        task_report: protocol.TaskReport,
-        attempt: Attempt | None,
+    def _may_forget(self, machine: Machine, start: StartKey, now: float) -> bool:
+        """Whether no late direct command can start the attempt again once it is forgotten."""
+        fleet = self._fleet
+        if fleet.unacknowledged_starts.contains(machine.index, start):
+            return False
+        return fleet.executed_starts.may_forget(machine.index, start, fleet.fencing_token, now)
+
+    @staticmethod
+    def _is_settled(
+        job: Job, task: int, task_report: protocol.TaskReport, attempt: Attempt | None
     ) -> bool:
-        """Whether the worker may remove an exited task from its heartbeats.
+        """Whether the listing of an exited task is no longer needed as evidence.
 
         Args:
-            machine: The worker's machine.
             job: The task's job.
             task: The task's index.
             task_report: The exited task as the worker lists it.
             attempt: The recorded attempt; None if it is not recorded for this machine.
         """
-        start = StartKey(job.index, task, task_report.attempt)
-        if self._fleet.unacknowledged_starts.contains(machine.index, start):
-            return False  # a delayed command would start a forgotten attempt again
         if task_report.exit_cause == protocol.ExitCause.DONE and not job.is_service:
             # A finished task stays listed until the result is durably recorded.
             return job.final_status is not None or job.task_states[task] == TASK_FINISHED
--- a/petrelthread/fleet/fleet.py
+++ b/petrelthread/fleet/fleet.py
@@ -8,10 +8,12 @@
 from petrelthread import protocol
 from petrelthread.fleet.attempt_outcomes import AttemptOutcomes
 from petrelthread.fleet.callbacks import NO_CALLBACKS, FleetCallbacks
+from petrelthread.fleet.executed_starts import ExecutedStarts
 from petrelthread.fleet.heartbeat_reconciler import HeartbeatReconciler
 from petrelthread.fleet.job_failures import JobFailures
 from petrelthread.fleet.machine import NEVER, Machine
 from petrelthread.fleet.machine_registry import NO_EPOCH, MachineRegistry
+from petrelthread.fleet.start_key import start_key_of
 from petrelthread.fleet.task_reconciler import TaskReconciler
 from petrelthread.fleet.token_raise_policy import TokenRaisePolicy
 from petrelthread.fleet.unacknowledged_starts import UnacknowledgedStarts
@@ -34,6 +36,7 @@
         resumed_at: When this process last resumed after a pause; event loop time.
         finished_tasks: Finished tasks not yet durably recorded: task indices by job index.
         unacknowledged_starts: Starts that were sent and may still take effect.
+        executed_starts: Executed direct starts that a late copy could repeat.
         token_raise_policy: When the fencing token is raised.
         job_failures: Failing jobs and faulty machines.
     """
@@ -65,11 +68,14 @@
         self.unacknowledged_starts = UnacknowledgedStarts(
             lease_s, lease_grace_s, callbacks.state_current_as_of
         )
+        self.executed_starts = ExecutedStarts()
         self.token_raise_policy = TokenRaisePolicy(
-            lease_s, lease_grace_s, self.unacknowledged_starts
+            lease_s, lease_grace_s, self.unacknowledged_starts, self.executed_starts
         )
         self._leases = WorkerLeases(self, lease_s, lease_grace_s)
-        self._outcomes = AttemptOutcomes(self, self.unacknowledged_starts, callbacks)
+        self._outcomes = AttemptOutcomes(
+            self, self.unacknowledged_starts, self.executed_starts, callbacks
+        )
         self.finished_tasks = self._outcomes.finished_tasks
         self._heartbeat_reconciler = self._build_heartbeat_reconciler()
 
@@ -82,6 +88,7 @@
             self._leases,
             self._outcomes,
             self.unacknowledged_starts,
+            self.executed_starts,
             task_reconciler,
             self.callbacks,
         )
@@ -95,6 +102,7 @@
     ) -> None:
         """Begin this controller's leadership; see ``MachineRegistry.begin_epoch``."""
         self.fencing_token = epoch
+        self.executed_starts.clear()
         self._discard_finished_tasks(epoch)
         self.job_failures.begin_epoch(now)
         self.begin_epoch(epoch, now, recorded_machines)
@@ -127,6 +135,14 @@
             attempt, machine.name, self.fencing_token, now, renewed_at
         )
 
+    def on_start_executed(self, attempt: Attempt) -> None:
+        """Record that the worker has executed a direct start, unless it can never be repeated."""
+        start = self.unacknowledged_starts.on_acknowledged(attempt)
+        if start is not None:
+            self.executed_starts.on_executed(
+                attempt.machine, start_key_of(attempt), start.fencing_token
+            )
+
     def mark_lost(self, machine: Machine, reason: str) -> int:
         """Supersede all attempts on a lost machine; see ``AttemptOutcomes.mark_lost``."""
         return self._outcomes.mark_lost(machine, reason)
--- a/petrelthread/fleet/heartbeat_reconciler.py
+++ b/petrelthread/fleet/heartbeat_reconciler.py
@@ -10,6 +10,7 @@
 from petrelthread import protocol
 from petrelthread.fleet.attempt_outcomes import AttemptOutcomes
 from petrelthread.fleet.callbacks import FleetCallbacks
+from petrelthread.fleet.executed_starts import ExecutedStarts
 from petrelthread.fleet.machine import Health, Machine
 from petrelthread.fleet.machine_registry import MachineRegistry
 from petrelthread.fleet.task_reconciler import TaskReconciler
@@ -32,6 +33,7 @@
         leases: WorkerLeases,
         outcomes: AttemptOutcomes,
         unacknowledged_starts: UnacknowledgedStarts,
+        executed_starts: ExecutedStarts,
         task_reconciler: TaskReconciler,
         callbacks: FleetCallbacks,
     ) -> None:
@@ -39,6 +41,7 @@
         self._leases = leases
         self._outcomes = outcomes
         self._unacknowledged_starts = unacknowledged_starts
+        self._executed_starts = executed_starts
         self._task_reconciler = task_reconciler
         self._callbacks = callbacks
 
@@ -78,6 +81,7 @@
         self._update_identity(machine, heartbeat)
         self._update_health(machine, heartbeat, now, answered)
         self._unacknowledged_starts.on_token_acknowledged(machine.index, machine.highest_token)
+        self._executed_starts.on_token_acknowledged(machine.index, machine.highest_token)
         self._task_reconciler.reconcile(machine, heartbeat, now)
         self._detect_asymmetric_partition(machine, now)
         return machine
@@ -90,6 +94,7 @@
             if attempt.incarnation < incarnation:
                 self._outcomes.supersede(attempt, reason)
         self._unacknowledged_starts.on_incarnation_ended(machine.index, reason)
+        self._executed_starts.on_incarnation_ended(machine.index)
         machine.clear_images()
 
     def _update_liveness(
--- a/petrelthread/fleet/token_raise_policy.py
+++ b/petrelthread/fleet/token_raise_policy.py
@@ -8,6 +8,7 @@
 
 from enum import Enum
 
+from petrelthread.fleet.executed_starts import ExecutedStarts
 from petrelthread.fleet.unacknowledged_starts import UnacknowledgedStarts
 
 # Minimum time between two raises of the token, in lease durations. PROTOCOL lets a worker that sees
@@ -20,6 +21,8 @@
 # Age, in lease durations, at which a start that is still wanted is invalidated. Until then, the
 # start only delays the forget command for its attempt.
 STALE_AFTER_LEASES = 4.0
+# How long forget commands are withheld, in lease durations, so that one raise serves many of them.
+FORGET_AFTER_LEASES = 1.0
 
 
 class RaiseReason(Enum):
@@ -27,13 +30,23 @@
 
     UNWANTED = "starts that are no longer wanted may still be carried out"
     STALE = "unanswered starts keep attempts from being forgotten"
+    CROWDED = "a machine has executed many starts that a late copy could repeat"
+    FORGET = "exited tasks cannot be forgotten before the token of their start is invalid"
+
+
+# Raises for these reasons belong to normal operation; the others follow lost responses.
+ROUTINE_REASONS = frozenset({RaiseReason.CROWDED, RaiseReason.FORGET})
 
 
 class TokenRaisePolicy:
     """Decides when the token is raised, from the direct starts that may still take effect."""
 
     def __init__(
-        self, lease_s: float, lease_grace_s: float, unacknowledged_starts: UnacknowledgedStarts
+        self,
+        lease_s: float,
+        lease_grace_s: float,
+        unacknowledged_starts: UnacknowledgedStarts,
+        executed_starts: ExecutedStarts,
     ) -> None:
         """Create the policy.
 
@@ -41,10 +54,12 @@
             lease_s: The duration of a worker's lease.
             lease_grace_s: How long after the newest read of the state a heartbeat may be answered.
             unacknowledged_starts: Direct starts without a response.
+            executed_starts: Direct starts that a late copy could repeat.
         """
         self._lease_s = lease_s
         self._lease_grace_s = lease_grace_s
         self._unacknowledged_starts = unacknowledged_starts
+        self._executed_starts = executed_starts
         self._attempted_at = float("-inf")
 
     @property
@@ -66,6 +81,9 @@
         """
         if now - self._attempted_at < self.interval_s:
             return None
+        return self._reason_unacknowledged(token, now) or self._reason_executed(token, now)
+
+    def _reason_unacknowledged(self, token: int, now: float) -> RaiseReason | None:
         stale_before = now - STALE_AFTER_LEASES * self._lease_s
         reason = None
         for start in self._unacknowledged_starts.unanswered(token):
@@ -75,6 +93,14 @@
                 reason = RaiseReason.STALE
         return reason
 
+    def _reason_executed(self, token: int, now: float) -> RaiseReason | None:
+        if self._executed_starts.is_crowded(token):
+            return RaiseReason.CROWDED
+        since = self._executed_starts.withheld_since(token)
+        if since is not None and now - since >= FORGET_AFTER_LEASES * self._lease_s:
+            return RaiseReason.FORGET
+        return None
+
     def on_raise_attempted(self, now: float) -> None:
         """Record the time of a raise of the token, successful or not."""
         self._attempted_at = now
--- a/petrelthread/fleet/unacknowledged_starts.py
+++ b/petrelthread/fleet/unacknowledged_starts.py
@@ -11,7 +11,9 @@
              worker lists it; these starts are not tracked here, because a worker drops a heartbeat
              response that arrives too late.
 acknowledged The worker has responded to the direct command, or the command was not sent after all:
-             ``CommandDispatcher`` calls ``on_acknowledged``.
+             ``CommandDispatcher`` calls ``on_acknowledged``. If the worker has executed the start,
+             ``ExecutedStarts`` keeps its attempt from being forgotten while a late copy of the
+             command could start the attempt again.
 unanswered   No response in time: ``CommandDispatcher`` calls ``on_no_response`` [UNKNOWN]. The
              command may arrive at any time, even much later.
 listed       A heartbeat lists the attempt: ``TaskReconciler`` calls ``on_listed`` [CONFIRMED].
@@ -130,12 +132,17 @@
             attempt, machine, token, now, renewed_at, self._state_current_as_of()
         )
 
-    def on_acknowledged(self, attempt: Attempt) -> None:
-        """Stop tracking a start: the worker has responded, or the command was not sent."""
+    def on_acknowledged(self, attempt: Attempt) -> UnacknowledgedStart | None:
+        """Stop tracking a start: the worker has responded, or the command was not sent.
+
+        Returns:
+            The start; None if it is not tracked, so that it can no longer take effect.
+        """
         starts = self._by_machine.get(attempt.machine, {})
-        starts.pop(start_key_of(attempt), None)
+        start = starts.pop(start_key_of(attempt), None)
         if not starts:
             self._by_machine.pop(attempt.machine, None)
+        return start
 
     def on_no_response(self, attempt: Attempt) -> None:
         """Record that no response came in time; the command may still arrive at any time."""
@@ -197,6 +204,10 @@
         """Whether a delayed command may still start the attempt, or start it again."""
         return key in self._by_machine.get(machine, {})
 
+    def count_on(self, machine: int) -> int:
+        """Return how many starts on the machine are tracked, unanswered or not."""
+        return len(self._by_machine.get(machine, ()))
+
     def has_any_on(self, machine: int) -> bool:
         """Whether the machine may still receive a delayed start."""
         return machine in self._by_machine
