--- a/petrelthread/emulator/faults.py
+++ b/petrelthread/emulator/faults.py
@@ -153,7 +153,9 @@
     # not affected.
     commands_held_until: dict[str, float] = field(default_factory=dict)
     late_writes: float = 0.0  # share of transactions that are delayed or lose their response
-    late_commands: float = 0.0  # share of direct commands that are delayed, without a response
+    # Share of direct commands that are delayed, without a response, and share of those carried out
+    # of which a late copy arrives.
+    late_commands: float = 0.0
     late_heartbeats: float = 0.0  # share of heartbeats of which a late duplicate arrives
 
     def delivery(self, source: str, destination: str, target: str) -> Delivery:
@@ -183,6 +185,12 @@
             return draw_delay_s(self.randomness)
         return None
 
+    def copy_delay_s(self, target: str) -> float | None:
+        """After how many seconds a copy of an executed request arrives; None without a copy."""
+        if target == "/do" and self.randomness.random() < self.late_commands:
+            return draw_delay_s(self.randomness)
+        return None
+
     def clear_all(self) -> None:
         """End all faults of links."""
         self.cut.clear()
--- a/petrelthread/emulator/loopback.py
+++ b/petrelthread/emulator/loopback.py
@@ -114,15 +114,26 @@
                 await asyncio.sleep(HANG_S)
             if delivery.delay_s:
                 await asyncio.sleep(delivery.delay_s)
-            status, content = await handler(
-                source, method, target, orjson.loads(body) if body else None
-            )
+            content = orjson.loads(body) if body else None
+            status, response = await handler(source, method, target, content)
+            copy_delay_s = self._faults.copy_delay_s(target)
+            if copy_delay_s is not None:
+                self._background.start(
+                    self._deliver_copy(copy_delay_s, handler, source, method, target, content)
+                )
             if delivery.response_lost:
                 await asyncio.sleep(HANG_S)
-            return json_response(status, content)
+            return json_response(status, response)
 
         return serve
 
+    @staticmethod
+    async def _deliver_copy(
+        delay_s: float, handler: RequestHandler, source: str, method: str, target: str, body: Any
+    ) -> None:
+        await asyncio.sleep(delay_s)
+        await handler(source, method, target, body)  # nobody waits for the response
+
     # ---- sending -----------------------------------------------------------------------------
 
     def requester(self, source: str) -> RequestSender:
