Raise the token early only for starts that the raise would invalidate

A machine with 64 tracked starts counted as crowded also when most of them had a token below the present one, which the next response invalidates without a raise: the first start after a raise could ask for another one. Starts are now counted by their own token. The extended test fails before (reason CROWDED at the new token).

--- a/petrelthread/fleet/executed_starts.py
+++ b/petrelthread/fleet/executed_starts.py
@@ -18,7 +18,7 @@
 
 # An exited task takes about 100 bytes of a heartbeat, so these take some 13 of its 64 KiB.
 MAX_STARTS_PER_MACHINE = 128
-CROWDED_STARTS = MAX_STARTS_PER_MACHINE // 2  # on one machine; the token is raised soon
+CROWDED_STARTS = MAX_STARTS_PER_MACHINE // 2  # with one token; it is raised soon
 NO_TOKEN = -1  # below every token
 
 
@@ -41,7 +41,8 @@
         """Record that the machine's worker has executed a direct start with this token."""
         tokens = self._tokens.setdefault(machine, {})
         tokens[key] = token
-        if len(tokens) >= CROWDED_STARTS:
+        # Starts with lower tokens need no raise: the next response that arrives invalidates them.
+        if list(tokens.values()).count(token) >= CROWDED_STARTS:
             self._crowded_token = max(self._crowded_token, token)
 
     def on_token_acknowledged(self, machine: int, token: int) -> None:
@@ -95,5 +96,5 @@
         return sum(len(tokens) for tokens in self._tokens.values())
 
     def is_crowded(self, token: int) -> bool:
-        """Whether a machine has executed ``CROWDED_STARTS`` starts that a raise would drop."""
+        """Whether a machine has executed ``CROWDED_STARTS`` starts with this token or a higher one."""
         return self._crowded_token >= token
--- a/petrelthread/fleet/test_executed_starts.py
+++ b/petrelthread/fleet/test_executed_starts.py
@@ -119,6 +119,8 @@
     policy.on_raise_attempted(AT)
     assert policy.reason(EPOCH, AT + policy.interval_s - 0.1) is None
     assert policy.reason(EPOCH + 1, AT + policy.interval_s) is None
+    fleet.executed_starts.on_executed(2, StartKey(0, 1, 0), EPOCH + 1)
+    assert policy.reason(EPOCH + 1, AT + policy.interval_s) is None
 
 
 def test_starts_beyond_the_limit_are_left_for_heartbeat_responses() -> None:
