--- a/petrelthread/fleet/test_command_planner.py
+++ b/petrelthread/fleet/test_command_planner.py
@@ -2,8 +2,21 @@
 
 from __future__ import annotations
 
+import orjson
+
+from petrelthread import protocol
 from petrelthread.fleet import CommandPlanner, Fleet
-from tests.fleet_builder import ELECTED_AT, add_attempt, attempt_number, exited, heartbeat
+from tests.fleet_builder import (
+    ELECTED_AT,
+    EPOCH,
+    add_attempt,
+    attempt_number,
+    build_fleet,
+    exited,
+    heartbeat,
+)
+
+MAX_RESPONSE_LINE_BYTES = 64 * 1024  # PROTOCOL
 
 
 def test_exited_task_gets_no_forget_command_while_delayed_start_may_arrive(
@@ -18,3 +31,17 @@
     # A new incarnation rejects the delayed command.
     fleet.on_heartbeat(heartbeat(2, incarnation=2), 102.0, answered=True)
     assert not fleet.unacknowledged_starts.count()
+
+
+def test_starts_for_one_machine_fit_one_line_of_a_heartbeat_response() -> None:
+    """Guards against lost leases: a worker cannot read a longer line, and its tasks are killed."""
+    task_count = 1500
+    fleet = build_fleet(task_count=task_count)
+    for task in range(task_count):
+        machine, _ = add_attempt(fleet, attempt_number(task), task)
+    message = heartbeat(1)
+    fleet.on_heartbeat(message, ELECTED_AT, answered=True)
+    commands = CommandPlanner(fleet).for_heartbeat(machine, message, ELECTED_AT, may_start=True)
+    assert commands
+    line = orjson.dumps(protocol.heartbeat_response(EPOCH, commands))
+    assert len(line) <= MAX_RESPONSE_LINE_BYTES
