--- a/petrelthread/fleet/executed_starts.py
+++ b/petrelthread/fleet/executed_starts.py
@@ -96,5 +96,5 @@
         return sum(len(tokens) for tokens in self._tokens.values())
 
     def is_crowded(self, token: int) -> bool:
-        """Whether a machine has executed ``CROWDED_STARTS`` starts with this token or a higher one."""
+        """Whether a machine has executed ``CROWDED_STARTS`` starts with this or a higher token."""
         return self._crowded_token >= token
