--- a/petrelthread/fleet/task_reconciler.py
+++ b/petrelthread/fleet/task_reconciler.py
@@ -74,6 +74,7 @@
         """Reconcile each listed task. Returns those with a recorded attempt on this machine."""
         listed: set[TaskKey] = set()
         has_unacknowledged = self._unacknowledged_starts.has_any_on(machine.index)
+        attempts = self._registry.attempts_on(machine)
         for task_report in heartbeat.tasks:
             job_id, task = task_report.job_and_index
             job = self._cluster_state.jobs_by_id.get(job_id)
@@ -84,13 +85,14 @@
                     machine.index, StartKey(job.index, task, task_report.attempt)
                 )
             key = (job.index, task)
-            attempt = self._registry.attempts_on(machine).get(key)
+            attempt = attempts.get(key)
             if attempt is None or attempt.number != task_report.attempt:
                 attempt = self._adopt_unrecorded(
                     machine, heartbeat.incarnation, job, task, task_report
                 )
                 if attempt is None:
                     continue
+                attempts = self._registry.attempts_on(machine)
             listed.add(key)
             self._reconcile_listed(machine, attempt, task_report, now)
         return listed
