Log steps of the event loop that take long, by name

A leader that stands still logs 'process pause of N s', whatever the cause: a paused process, a machine without processor time, or a long step of its own. Ordering, placement, preemption, claim, its application and the plan are now timed; one over 0.25 s is logged with its name and size.

--- a/petrelthread/provisioning/provisioner.py
+++ b/petrelthread/provisioning/provisioner.py
@@ -23,6 +23,7 @@
 from petrelthread.provisioning.scale_out import ScaleOutExecutor
 from petrelthread.scheduling import ClusterView
 from petrelthread.state import OperationState, transition
+from petrelthread.step_timer import timed_step
 
 log = logging.getLogger(__name__)
 
@@ -136,7 +137,8 @@
         """Make a plan from the present state, without carrying it out."""
         clock = asyncio.get_running_loop().time
         started_at = clock()
-        plan = self._plan(now)
+        with timed_step("plan for %d machines", len(self._fleet.machines)):
+            plan = self._plan(now)
         self.last_plan_duration_s = clock() - started_at
         return plan
 
--- a/petrelthread/scheduling/cluster_view.py
+++ b/petrelthread/scheduling/cluster_view.py
@@ -20,6 +20,7 @@
 from petrelthread.scheduling.run_time_estimates import RunTimeEstimates
 from petrelthread.settings import Settings
 from petrelthread.state import ClusterState, Job
+from petrelthread.step_timer import timed_step
 
 # Share of all cores that can run tasks. The other cores wait for images, are idle until the next
 # round, or are too few on their machine for any task.
@@ -125,7 +126,9 @@
                 entries.append(self._service_entry(job))
             else:
                 entries.append(self._batch_entry(job))
-        return suspects + order_jobs(entries, self._guarantees, time.time(), self.usable_cores())
+        cores = self.usable_cores()
+        with timed_step("ordering of %d jobs", len(entries)):
+            return suspects + order_jobs(entries, self._guarantees, time.time(), cores)
 
     def _service_entry(self, job: Job) -> QueueEntry:
         cores = job.task_count * job.cores
--- a/petrelthread/scheduling/round_planner.py
+++ b/petrelthread/scheduling/round_planner.py
@@ -21,6 +21,7 @@
 from petrelthread.scheduling.start_validator import Start
 from petrelthread.settings import Settings
 from petrelthread.state import Attempt, ClusterState, Job
+from petrelthread.step_timer import timed_step
 
 log = logging.getLogger(__name__)
 
@@ -111,7 +112,8 @@
             capacity=capacity,
             reserved=reserved,
         )
-        return RoundDecision(starts, self._preemption_planner.plan(placed_round, now))
+        with timed_step("preemption for %d requests", len(requests)):
+            return RoundDecision(starts, self._preemption_planner.plan(placed_round, now))
 
     # ---- requests -----------------------------------------------------------------------------
 
@@ -184,9 +186,10 @@
         """Place requests on usable machines, then the unplaced tasks on cordoned spot machines."""
         clock = asyncio.get_running_loop().time
         stop_at = clock() + budget_s
-        result = place_requests(
-            requests, capacity.usable, quotas, self._resume_position, lambda: clock() >= stop_at
-        )
+        with timed_step("placement of %d requests", len(requests)):
+            result = place_requests(
+                requests, capacity.usable, quotas, self._resume_position, lambda: clock() >= stop_at
+            )
         self._resume_position = result.resume_position
         if result.resume_position or not capacity.cordoned_spot.machines:
             return result
--- a/petrelthread/scheduling/scheduler.py
+++ b/petrelthread/scheduling/scheduler.py
@@ -19,6 +19,7 @@
 from petrelthread.scheduling.start_validator import StartValidator
 from petrelthread.settings import Settings
 from petrelthread.state import RECORDS_PER_EPOCH, ClusterState, decode_round, epoch_base_number
+from petrelthread.step_timer import timed_step
 
 log = logging.getLogger(__name__)
 
@@ -124,7 +125,8 @@
         """Decide and claim one round. Returns whether another round should follow immediately."""
         stops = attempts_unfinished_at_reclaim(self._fleet, self._view.estimates, now)
         decision = self.decide(now)
-        claim = self.claim_builder.build(decision.starts, stops + decision.preemptions, now)
+        with timed_step("claim of %d starts", len(decision.starts)):
+            claim = self.claim_builder.build(decision.starts, stops + decision.preemptions, now)
         if not claim.operations:
             return False
         outcome, failed_keys = await self._claim(claim)
@@ -145,7 +147,8 @@
             # leader was committed without a response. Only the state service knows which.
             log.info("claim not committed; keys with failed conditions: %s", ", ".join(failed_keys))
             return await self._refresh()
-        self._applier.apply(claim, now)
+        with timed_step("application of a claim with %d starts", len(claim.starts)):
+            self._applier.apply(claim, now)
         count_preemptions(decision.preemptions)
         return claim.has_postponed or bool(self._fleet.finished_tasks)
 
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -10,7 +10,8 @@
 ROOT = Path(__file__).parent.parent
 PACKAGES = ROOT / "petrelthread"
 TABLE_ROW = re.compile(r"^\| (`\w+`(?:, `\w+`)*) \|", re.MULTILINE)
-UNRANKED = {"background_tasks", "interner", "pause_detector"}  # modules that import no package
+# Modules that import no package.
+UNRANKED = {"background_tasks", "interner", "pause_detector", "step_timer"}
 TOOLS_STARTED_BY_CLI = {"emulator", "benchmark"}
 
 
