Bound the ordering of the jobs, whatever the size of the arrays

Leader after leader lost its lease. The array is stored, so restarts do not help.

Cause: the simulated schedule of order_jobs took free cores piece by piece until an array had as many as all its tasks can use at once, some 10^6 turns for a team without a limit, and was made anew for each job that might be dropped. All of it was one step of the event loop that renews the lease.

--- a/petrelthread/benchmark/populated_leader.py
+++ b/petrelthread/benchmark/populated_leader.py
@@ -84,7 +84,7 @@
         self._random = random.Random(seed)
         self._job_count = 0
         self._stored: dict[int, list[Any]] = {}
-        self._tasks_per_job = machines // RUNNING_JOBS
+        self._tasks_per_job = max(1, machines // RUNNING_JOBS)
         self.state: ClusterState = self.controller.cluster_state
         now = asyncio.get_running_loop().time()
         self.controller.fleet.begin_leadership(EPOCH, now)
@@ -94,16 +94,19 @@
         )
         self.heartbeats = [self._add_machine(number, now) for number in range(machines)]
 
-    def add_pending_job(self, tasks: int, image: int) -> Job:
-        """Add a job to the cluster state, as if it had been read from the state service."""
+    def add_pending_job(self, tasks: int, image: int, **attributes: Any) -> Job:
+        """Add a job to the cluster state, as if it had been read from the state service.
+
+        ``attributes`` are attributes of ``protocol.JobSpec`` that differ from the defaults.
+        """
         self._job_count += 1
         spec = job_spec(
             f"wk-{self._job_count:06d}",
             tasks,
             team=TEAM,
-            cores=TASK_CORES,
             image=f"img-{image:02d}",
             image_size_gb=1.5,
+            **{"cores": TASK_CORES, **attributes},
         )
         record = JobRecord.from_spec(msgspec.convert(spec, protocol.JobSpec), time.time())
         job = self.state.add_job(str(spec["name_id"]), record)
--- a/petrelthread/cli/main.py
+++ b/petrelthread/cli/main.py
@@ -43,7 +43,15 @@
         "bench-rounds", help="measure a leader's recurring work by number of machines"
     )
     bench.add_argument(
-        "--machines", type=_positive, nargs="+", help="numbers of machines (default: 600 to 8000)"
+        "--machines",
+        type=_positive,
+        nargs="+",
+        help="numbers of machines (default: 600 to 8000; with --giant-arrays, 8 to 4000)",
+    )
+    bench.add_argument(
+        "--giant-arrays",
+        action="store_true",
+        help="measure the steps of a leader while arrays of 100000 tasks wait",
     )
     _add_operator_commands(commands)
     return top
@@ -135,9 +143,11 @@
 
 
 def _bench_rounds(args: argparse.Namespace) -> int:
-    from petrelthread.benchmark.rounds import MACHINE_COUNTS, bench_rounds
+    from petrelthread.benchmark import giant_arrays, rounds
 
-    return bench_rounds(args.machines or MACHINE_COUNTS)
+    if args.giant_arrays:
+        return giant_arrays.bench_giant_arrays(args.machines or giant_arrays.MACHINE_COUNTS)
+    return rounds.bench_rounds(args.machines or rounds.MACHINE_COUNTS)
 
 
 def _operate(args: argparse.Namespace) -> int:
--- a/petrelthread/scheduling/job_order.py
+++ b/petrelthread/scheduling/job_order.py
@@ -10,8 +10,9 @@
 import math
 from typing import NamedTuple
 
+from petrelthread.scheduling.capacity_timeline import CapacityTimeline, StepBudget
 from petrelthread.scheduling.guarantees import Guarantee, within_guarantee
-from petrelthread.scheduling.on_time_selection import CapacityTimeline, reachable_objectives
+from petrelthread.scheduling.on_time_selection import reachable_objectives
 from petrelthread.scheduling.queue_entry import QueuedJob, QueueEntry
 
 # Assumed time from now to the due time of a job that can reach no objective.
@@ -22,6 +23,9 @@
 # A job that has not started this long after its acceptance is overdue.
 MAX_START_DELAY_S = 150.0
 
+# Steps of one ordering; bounds its time, which otherwise grows with the square of the jobs.
+MAX_STEPS = 10_000
+
 MIN_SHARED_CORES = 1.0  # cores assumed for other jobs if services request all cores
 
 
@@ -37,6 +41,7 @@
     guarantees: list[Guarantee],
     now: float,
     cores: float = math.inf,
+    max_steps: float = MAX_STEPS,
 ) -> list[QueuedJob]:
     """The jobs in scheduling order.
 
@@ -51,6 +56,7 @@
         guarantees: guaranteed cores and accelerators, by team index.
         now: wall clock time in seconds.
         cores: cores that all jobs together can keep busy.
+        max_steps: steps that planning which jobs are on time may take; see ``StepBudget``.
     """
     guaranteed = within_guarantee(entries, guarantees)
     services = sorted(
@@ -61,13 +67,19 @@
     order = [QueuedJob(entry.job_index, guaranteed[entry.job_index], now) for entry in services]
     service_cores = sum(entry.parallel_cores for entry in services)
     shared_cores = max(cores - service_cores, MIN_SHARED_CORES)
-    timeline = CapacityTimeline(shared_cores, now)
+    timeline = CapacityTimeline(shared_cores, now, _horizon(others, now), StepBudget(max_steps))
     backlog_end = now + sum(entry.remaining_core_s for entry in others) / shared_cores
     for group in _groups(others, guaranteed):
         order += _order_group(group, guaranteed, timeline, backlog_end)
     return order
 
 
+def _horizon(entries: list[QueueEntry], now: float) -> float:
+    """The latest objective time of all jobs: when a job completes after it does not matter."""
+    latest = (entry.objective_times[-1] for entry in entries if entry.objective_times)
+    return max(latest, default=now)
+
+
 def _groups(entries: list[QueueEntry], guaranteed: dict[int, bool]) -> list[list[QueueEntry]]:
     """Group the jobs by guarantee and priority, in scheduling order."""
     groups: dict[_GroupKey, list[QueueEntry]] = {}
