Order the jobs in an event loop step of their own

The ordering depends on nothing that the rest of the step reads, so the event loop now gets a turn after it. Jobs that finish in between are left out, jobs that come in between wake the next round, as before. The time of both parts still counts in the share of time that planning may take.

Test: test_ordering_and_deciding_are_two_steps_of_the_event_loop fails on the parent.

--- a/petrelthread/benchmark/giant_arrays.py
+++ b/petrelthread/benchmark/giant_arrays.py
@@ -31,7 +31,7 @@
     """Longest duration in milliseconds of each step of one leader."""
 
     ordering: float
-    decision: float  # of a round, with its ordering
+    decision: float  # of a round
     claim: float
     plan: float
 
@@ -61,17 +61,17 @@
         )
     controller = leader.controller
     now = asyncio.get_running_loop().time()
-    controller.scheduler.decide(now)  # fills the caches of the first round
-    decision = controller.scheduler.decide(now)
+    scheduler, provisioner = controller.scheduler, controller.provisioner
+    scheduler.decide(now)  # fills the caches of the first round
+    decision = scheduler.decide(now)
+    order = controller.cluster_view.job_order()
     return StepTimes(
         ordering=_longest_ms(controller.cluster_view.job_order),
-        decision=_longest_ms(lambda: controller.scheduler.decide(now)),
+        decision=_longest_ms(lambda: scheduler.decide(now, order)),
         claim=_longest_ms(
-            lambda: controller.scheduler.claim_builder.build(
-                decision.starts, decision.preemptions, now
-            )
+            lambda: scheduler.claim_builder.build(decision.starts, decision.preemptions, now)
         ),
-        plan=_longest_ms(lambda: controller.provisioner.plan_now(now)),
+        plan=_longest_ms(lambda: provisioner.plan_now(now, order)),
     )
 
 
--- a/petrelthread/provisioning/demand.py
+++ b/petrelthread/provisioning/demand.py
@@ -10,7 +10,7 @@
 from petrelthread.provisioning.context import ProvisioningContext
 from petrelthread.provisioning.plan import CORES_EPSILON, Demand
 from petrelthread.provisioning.reserve import Arrivals, service_reserve_cores
-from petrelthread.scheduling import ClusterView
+from petrelthread.scheduling import ClusterView, QueuedJob
 from petrelthread.state import Job
 
 EXPECTED_MACHINES_PER_ZONE = 2  # machines of the smallest type kept for an unseen urgent job class
@@ -102,12 +102,19 @@
             len(self._reachable_zones()),
         )
 
-    def demands(self, now: float) -> list[Demand]:
-        """Expected demands of urgent job classes, then those of open jobs in scheduling order."""
+    def demands(self, order: list[QueuedJob], now: float) -> list[Demand]:
+        """Expected demands of urgent job classes, then those of open jobs.
+
+        Args:
+            order: the open jobs in scheduling order; some may have finished since.
+            now: event loop time in seconds.
+        """
         quotas = [TeamQuota(team.max_cores, team.max_accelerators) for team in self._view.teams]
         demands = self._expected_demands()
-        for entry in self._view.job_order():
+        for entry in order:
             job = self._cluster_state.jobs[entry.job_index]
+            if job.final_status is not None:
+                continue
             quota = quotas[job.team]
             unfinished = self._unfinished_tasks(job, now)
             if unfinished <= 0:
--- a/petrelthread/provisioning/provisioner.py
+++ b/petrelthread/provisioning/provisioner.py
@@ -21,7 +21,7 @@
 from petrelthread.provisioning.scale_in import ScaleInExecutor
 from petrelthread.provisioning.scale_in_selection import ScaleInSelection
 from petrelthread.provisioning.scale_out import ScaleOutExecutor
-from petrelthread.scheduling import ClusterView
+from petrelthread.scheduling import ClusterView, QueuedJob
 from petrelthread.state import OperationState, transition
 from petrelthread.step_timer import timed_step
 
@@ -66,6 +66,7 @@
         self._cluster_state = context.cluster_state
         self._fleet = context.fleet
         self._leadership = context.leadership
+        self._view = view
         self._options = options
         cloud_settings = context.settings.cluster.cloud
         self._max_calls = max(MIN_CALLS_PER_PLAN, int(CALL_BURST_S * cloud_settings.rps))
@@ -125,7 +126,9 @@
             return
         # Machines with replicas come first: replicas move only once the scale-in is confirmed.
         await self.scale_in.execute_all(self.scale_in_selection.unresponsive_with_replicas(), now)
-        plan = self.plan_now(now)
+        plan = await self._plan_in_two_steps(now)
+        if not self._leadership.is_leader:
+            return
         for machine in self._fleet.machines.values():
             machine.cordoned = machine.index in plan.cordoned
         now = await self._scale_out(plan, now)
@@ -133,22 +136,40 @@
         if self._reconciler.is_due(now) and self._leadership.is_leader:
             await self._reconciler.reconcile(asyncio.get_running_loop().time())
 
-    def plan_now(self, now: float) -> Plan:
-        """Make a plan from the present state, without carrying it out."""
+    async def _plan_in_two_steps(self, now: float) -> Plan:
+        """Order the jobs and make a plan, each in a step of the event loop of its own."""
+        clock = asyncio.get_running_loop().time
+        started_at = clock()
+        order = self._view.job_order()
+        ordering_s = clock() - started_at
+        await asyncio.sleep(0)
+        plan = self.plan_now(now, order)
+        self.last_plan_duration_s += ordering_s
+        return plan
+
+    def plan_now(self, now: float, order: list[QueuedJob] | None = None) -> Plan:
+        """Make a plan from the present state, without carrying it out.
+
+        Args:
+            now: event loop time in seconds.
+            order: the open jobs in scheduling order; by default, they are ordered now.
+        """
         clock = asyncio.get_running_loop().time
         started_at = clock()
+        if order is None:
+            order = self._view.job_order()
         with timed_step("plan for %d machines", len(self._fleet.machines)):
-            plan = self._plan(now)
+            plan = self._plan(order, now)
         self.last_plan_duration_s = clock() - started_at
         return plan
 
-    def _plan(self, now: float) -> Plan:
+    def _plan(self, order: list[QueuedJob], now: float) -> Plan:
         owned = self._planning_input.owned_machines(now)
         offers = self._planning_input.offers(now)
         options = self._options()
         reserve_cores = self.forecast.urgent_reserve(now) * options.reserve_share
         return make_plan(
-            self.forecast.demands(now),
+            self.forecast.demands(order, now),
             owned,
             offers,
             reserve_cores,
@@ -169,7 +190,7 @@
             if await self.scale_out.execute_all(requests) or not self._leadership.is_leader:
                 break
             now = asyncio.get_running_loop().time()
-            requests = self.plan_now(now).scale_outs
+            requests = (await self._plan_in_two_steps(now)).scale_outs
         return now
 
     async def _resolve_unknown(self, now: float) -> None:
--- a/petrelthread/scheduling/round_planner.py
+++ b/petrelthread/scheduling/round_planner.py
@@ -16,6 +16,7 @@
 from petrelthread.scheduling.free_capacity import FreeCapacity
 from petrelthread.scheduling.placement_request import PlacementRequest
 from petrelthread.scheduling.preemption_planner import PlacedRound, PreemptionPlanner
+from petrelthread.scheduling.queue_entry import QueuedJob
 from petrelthread.scheduling.quota import QuotaHeadroom, TeamUsage
 from petrelthread.scheduling.reservations import reserve_machines
 from petrelthread.scheduling.start_validator import Start
@@ -73,14 +74,15 @@
         self._resume_position = 0
         self.reserved_machines.clear()
 
-    def decide(self, now: float, budget_s: float) -> RoundDecision:
+    def decide(self, order: list[QueuedJob], now: float, budget_s: float) -> RoundDecision:
         """Decide which tasks to start and which attempts to preempt.
 
         Args:
+            order: the open jobs in scheduling order; some may have finished since.
             now: event loop time in seconds.
             budget_s: time after which the round places no further request.
         """
-        requests = self._collect_requests(now)
+        requests = self._collect_requests(order, now)
         if not requests.overdue and not requests.regular:
             return RoundDecision([], [])
         capacity = self._view.free_capacity()
@@ -117,11 +119,13 @@
 
     # ---- requests -----------------------------------------------------------------------------
 
-    def _collect_requests(self, now: float) -> _RoundRequests:
+    def _collect_requests(self, order: list[QueuedJob], now: float) -> _RoundRequests:
         """Collect the placement requests of the open jobs, in scheduling order."""
         requests = _RoundRequests()
-        for queued in self._view.job_order():
+        for queued in order:
             job = self._cluster_state.jobs[queued.job_index]
+            if job.final_status is not None:
+                continue
             requests.guaranteed[queued.job_index] = queued.guaranteed
             if job.is_gang and job.live_attempts:
                 continue  # a gang starts as a whole, after all its live attempts have ended
--- a/petrelthread/scheduling/scheduler.py
+++ b/petrelthread/scheduling/scheduler.py
@@ -13,6 +13,7 @@
 from petrelthread.scheduling.claim_builder import ClaimBuilder
 from petrelthread.scheduling.cluster_view import ClusterView
 from petrelthread.scheduling.preemption_planner import count_preemptions
+from petrelthread.scheduling.queue_entry import QueuedJob
 from petrelthread.scheduling.round_claim import RoundClaim
 from petrelthread.scheduling.round_planner import RoundDecision, RoundPlanner
 from petrelthread.scheduling.spot_reclaim import attempts_unfinished_at_reclaim
@@ -114,17 +115,26 @@
         last = epoch_base_number(self._fleet.epoch) + RECORDS_PER_EPOCH - 1
         return last - self._last_record_number
 
-    def decide(self, now: float) -> RoundDecision:
-        """Decide what to start and what to preempt; ``now`` is the event loop time."""
-        decision = self._planner.decide(now, self.round_budget_s)
+    def decide(self, now: float, order: list[QueuedJob] | None = None) -> RoundDecision:
+        """Decide what to start and what to preempt.
+
+        Args:
+            now: event loop time in seconds.
+            order: the open jobs in scheduling order; by default, they are ordered now.
+        """
+        if order is None:
+            order = self._view.job_order()
+        decision = self._planner.decide(order, now, self.round_budget_s)
         if not decision.is_complete:
             self.wake.set()  # the next round examines the remaining requests
         return decision
 
     async def run_round(self, now: float) -> bool:
         """Decide and claim one round. Returns whether another round should follow immediately."""
+        order = self._view.job_order()
+        await asyncio.sleep(0)  # ordering and deciding are two steps of the event loop
         stops = attempts_unfinished_at_reclaim(self._fleet, self._view.estimates, now)
-        decision = self.decide(now)
+        decision = self.decide(now, order)
         with timed_step("claim of %d starts", len(decision.starts)):
             claim = self.claim_builder.build(decision.starts, stops + decision.preemptions, now)
         if not claim.operations:
--- a/petrelthread/scheduling/test_scheduler.py
+++ b/petrelthread/scheduling/test_scheduler.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from petrelthread import protocol
+from petrelthread.protocol import JobStatus
 from petrelthread.scheduling.job_order import MAX_START_DELAY_S
 from petrelthread.state import OperationState, transition
 from tests.scheduling_cluster import Cluster, cluster_test, now
@@ -57,3 +60,16 @@
     cluster.fleet.finished_tasks[job.index] = {0, 2}
     starts = cluster.scheduler.decide(now()).starts
     assert [start.task for start in starts] == [1]
+
+
+# Guards against long steps: ordering and deciding together held the event loop.
+@cluster_test
+async def test_ordering_and_deciding_are_two_steps_of_the_event_loop(cluster: Cluster) -> None:
+    cluster.add_machine(1, "a")
+    for number in (1, 2):
+        cluster.add_job(job_spec(f"wk-00000{number}", 1, cores=1.0))
+    between_steps = asyncio.get_running_loop().call_soon
+    between_steps(cluster.cluster_state.set_final_status, "wk-000001", JobStatus.CANCELLED)
+    await cluster.scheduler.run_round(now())
+    # The first job was cancelled after the ordering, so no start of it was decided.
+    assert [attempt.job.id for attempt in cluster.dispatcher.launched] == ["wk-000002"]
