Count attempts by machine and job, for plans

What callers would see: while 100,000 small tasks of one array run on 4,000 machines, a plan holds the leader's event loop for 0.2 to 0.3 s, 0.05 s with 8,000 tasks (other runs beside).

Cause: to tell which cores jobs without pending tasks occupy, each plan looked at every running task.

The recount test covers the new figures.

--- a/petrelthread/provisioning/planning_input.py
+++ b/petrelthread/provisioning/planning_input.py
@@ -24,6 +24,7 @@
         unreachable_zones: Collection[int],
     ) -> None:
         self._fleet = context.fleet
+        self._cluster_state = context.cluster_state
         self._names = context.cluster_state.names
         self._machine_types = machine_types
         self._offer_backoff = offer_backoff
@@ -60,13 +61,12 @@
         attempts = self._fleet.attempts_on(machine)
         occupied_cores = 0.0
         replicas = 0
-        for attempt in attempts.values():
-            if attempt.has_exited:
-                continue
-            if attempt.job.is_service:
-                replicas += 1
-            elif attempt.job.pending_count == 0:
-                occupied_cores += attempt.job.cores
+        for job_index, count in self._cluster_state.usage.job_attempts(machine.index).items():
+            job = self._cluster_state.jobs[job_index]
+            if job.is_service:
+                replicas += count
+            elif job.pending_count == 0:
+                occupied_cores += count * job.cores
         idle = machine.health is Health.UP and not attempts
         return OwnedMachine(
             machine.index,
--- a/petrelthread/state/test_cluster_state.py
+++ b/petrelthread/state/test_cluster_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 
 import pytest
 
@@ -79,6 +80,8 @@
         jobs = [attempt.job for attempt in using if attempt.machine == machine]
         usage = cluster_state.usage.machine(machine)
         assert usage.attempts == len(jobs)
+        counts = Counter(job.index for job in jobs)
+        assert cluster_state.usage.job_attempts(machine) == counts
         assert usage.cores == pytest.approx(sum(job.cores for job in jobs))
         assert usage.ram_gb == pytest.approx(sum(job.ram_gb for job in jobs))
     for team in TEAMS:
--- a/petrelthread/state/usage.py
+++ b/petrelthread/state/usage.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from petrelthread.state.job import Attempt
@@ -47,6 +48,7 @@
         self.changed_machines: set[int] = set()
         self._machines: dict[int, ResourceUsage] = {}
         self._teams: dict[int, ResourceUsage] = {}
+        self._job_attempts: dict[int, dict[int, int]] = {}  # by machine, then by job
 
     def machine(self, index: int) -> ResourceUsage:
         """Usage of all attempts on a machine."""
@@ -56,6 +58,10 @@
         """Usage of a team's attempts on all machines."""
         return self._teams.get(index, NO_USAGE)
 
+    def job_attempts(self, machine: int) -> Mapping[int, int]:
+        """Number of attempts on a machine, by index of the job; jobs without any are absent."""
+        return self._job_attempts.get(machine, {})
+
     def add(self, attempt: Attempt) -> None:
         """Count an attempt that is not counted yet."""
         self._change(attempt, 1)
@@ -72,3 +78,14 @@
                 usages.pop(index, None)
             else:
                 usages[index] = usage
+        self._change_job_attempts(attempt, by)
+
+    def _change_job_attempts(self, attempt: Attempt, by: int) -> None:
+        counts = self._job_attempts.setdefault(attempt.machine, {})
+        count = counts.get(attempt.job.index, 0) + by
+        if count:
+            counts[attempt.job.index] = count
+        else:
+            counts.pop(attempt.job.index, None)
+            if not counts:
+                del self._job_attempts[attempt.machine]
