--- a/petrelthread/emulator/soak.py
+++ b/petrelthread/emulator/soak.py
@@ -21,7 +21,7 @@
 from petrelthread.emulator.loopback_environment import LoopbackEnvironment, LoopbackOptions
 from petrelthread.emulator.processes import CANCEL_S, ZONES
 from petrelthread.emulator.users import Users
-from petrelthread.emulator.workload import draw_jobs
+from petrelthread.emulator.workload import draw_jobs, draw_large_array
 
 FAULT_INTERVAL_S = 1.5  # mean
 JOBS_PER_S = 1.0
@@ -83,6 +83,7 @@
             int(options.seconds * JOBS_PER_S),
             BACKLOG,
         )
+        jobs += draw_large_array(self._result.seed, options.seconds * SUBMIT_SHARE)
         self._result.jobs = len(jobs)
         faults = draw_faults(environment.random, options.seconds, FAULT_INTERVAL_S)
         for job in jobs:
--- a/petrelthread/emulator/users.py
+++ b/petrelthread/emulator/users.py
@@ -81,7 +81,7 @@
         )
 
     def _wants_cancel(self, job: PlannedJob, accepted_at: float, now: float) -> bool:
-        if job.service:
+        if job.service or job.cancel_after_faults:
             return self.faults_ended.is_set()
         if job.cancel_when_running:
             requested = job.job_id in self._checker.cancel_requested
--- a/petrelthread/emulator/workload.py
+++ b/petrelthread/emulator/workload.py
@@ -29,6 +29,9 @@
 DEADLINE_S = 60.0
 TASK_COUNT = (2, 6)
 MAX_REPLICAS = 4
+LARGE_ARRAY_SEEDS = 3  # each third seed has an array of the largest size
+LARGE_ARRAY_CORES = (1.0, 4.0)  # of each task
+LARGE_ARRAY_TEAM = "guest"  # it has no limit
 
 # The submission's field for each attribute of protocol.JobSpec.
 _FIELDS = {field.name: field.encode_name for field in msgspec.structs.fields(protocol.JobSpec)}
@@ -70,6 +73,7 @@
     cancel_after_s: float | None  # after the job's acceptance
     run_s: float  # of each task
     cancel_when_running: bool = False  # cancelled as soon as its user sees it running
+    cancel_after_faults: bool = False  # cancelled once all faults are over
 
     @property
     def job_id(self) -> str:
@@ -97,6 +101,29 @@
     return sorted(planned, key=lambda job: job.submit_s)
 
 
+def draw_large_array(seed: int, seconds: float) -> list[PlannedJob]:
+    """Draw an array of the largest size for some seeds, regardless of what else they draw.
+
+    It does not end by itself: its user cancels it once all faults are over.
+    """
+    if seed % LARGE_ARRAY_SEEDS:
+        return []
+    randomness = random.Random(f"large array {seed}")
+    job_id = f"wk-{randomness.randrange(1_000_000, 10_000_000)}"
+    spec = job_spec(
+        job_id,
+        protocol.MAX_TASKS_PER_JOB,
+        team=LARGE_ARRAY_TEAM,
+        priority="low",
+        cores=randomness.choice(LARGE_ARRAY_CORES),
+        ram_gb=1.0,
+        image="img-0",
+        deadline_s=randomness.choice((None, DEADLINE_S)),
+    )
+    submit_s = randomness.uniform(0.0, seconds / 2)
+    return [PlannedJob(spec, submit_s, None, RUN_S[1], cancel_after_faults=True)]
+
+
 def _draw_job(
     randomness: random.Random, job_id: str, submit_s: float, zones: tuple[str, ...]
 ) -> PlannedJob:
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -26,7 +26,7 @@
 from petrelthread.emulator.processes import CANCEL_S
 from petrelthread.emulator.soak import SeedResult, format_result
 from petrelthread.emulator.worker import TaskRun, Worker
-from petrelthread.emulator.workload import draw_jobs
+from petrelthread.emulator.workload import draw_jobs, draw_large_array
 from petrelthread.http import NoResponseError
 from tests.scenario import now
 from tests.simulation import NODES, Simulation, job_spec
@@ -363,3 +363,11 @@
         assert any(text.startswith("forgotten") for text in simulation.checker.violations)
 
     run_in_virtual_time(main())
+
+
+def test_each_third_seed_of_the_soak_has_an_array_of_the_largest_size() -> None:
+    counts = [[job.spec["legs"] for job in draw_large_array(seed, 40.0)] for seed in range(1, 7)]
+    assert counts == [[], [], [protocol.MAX_TASKS_PER_JOB]] * 2
+    (array,) = draw_large_array(3, 40.0)
+    assert array.cancel_after_faults
+    assert 0.0 <= array.submit_s <= 20.0
