--- a/review/4/deployment.py
+++ b/review/4/deployment.py
@@ -26,6 +26,7 @@
 REPORT_TIMEOUT_S, COMMAND_HANG_S, LEAST_REPORT_GAP_S = 4.0, 60.0, 0.5
 SUBMIT_TIMEOUT_S, POLL_TIMEOUT_S, POLL_S = 5.0, 2.0, 5.0
 FINAL = ("done", "aborted")
+LIMIT_S = 116.0  # for one case
 OK, MISSING, MISDIRECTED = 200, 404, 421
 GRANITE_OBJECTIVES = """[[cluster.objectives]]
 kind = "finished"
@@ -82,6 +83,7 @@
     skew_ms: float
     limits: str
     objectives: str
+    spot: int | None = None  # spot machines among ``machines``; None: any share
 
 
 def granite(machines: int, boot_s: float) -> Site:
@@ -400,7 +402,7 @@
     def _rent(self, body: dict[str, Any]) -> tuple[int, Any]:
         charter = body["charter"]
         if charter not in self._answers:
-            free = self._world.site.machines - len(self.machines)
+            free = self._free(body["driftwood"])
             count = min(body["count"], free, 50)
             if count <= 0:
                 return 503, {"error": "no capacity"}
@@ -414,6 +416,13 @@
             self._world.note(f"cloud: rented {' '.join(names)}")
         return 200, {"perches": self._answers[charter]}
 
+    def _free(self, spot: bool) -> int:
+        site = self._world.site
+        if site.spot is None:
+            return site.machines - len(self.machines)
+        limit = site.spot if spot else site.machines - site.spot
+        return limit - sum(worker.spot == spot for worker in self.machines.values())
+
     def _entry(self, worker: Worker) -> dict[str, Any]:
         return {
             "name_id": worker.name,
@@ -812,12 +821,21 @@
         return 0 if held else 1
 
 
+async def _within_limit(main: Any) -> int:
+    """Await ``main``, which ends its processes when it is cancelled, by SIGTERM or the limit."""
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    async with asyncio.timeout(LIMIT_S):
+        return int(await main())
+
+
 def run(main: Any) -> None:
     """Run a case and exit; the exit code is 2 if it can't run."""
     code = 2
     try:
-        code = asyncio.run(main())
-    except Exception as error:
+        code = asyncio.run(_within_limit(main))
+    except (Exception, asyncio.CancelledError) as error:
         print(f"the case couldn't run: {error!r}")
     sys.stdout.flush()
     sys.stderr.flush()
