Keep open, needed and recent jobs in memory; read older finished ones on request

Cause: ClusterState kept every job ever accepted, WatchCache a revision for each of its keys, and a read the values of all keys besides.

Change: - The read of all keys omits finished jobs while the pages arrive, unless a record names one, it is among the 2,000 most recent, it is open in memory, or it finished after the read began. Keys of other kinds come first. Changes are read on the way too, so that a read of any length completes. - A running controller drops finished jobs by the same rules. A job that is done has no attempts any more, so that the record of a long task that was started with it does not keep it. - Questions, cancellations and refused submissions of jobs that are not in memory are answered by consistent reads of the two keys, also while all keys are read: shared, cached, at most 16 at once, a tenth of the request rate and what others leave. Otherwise 503, never 404. - A worker that lists a task of such a job gets no command; its job is read and put back, and the next heartbeat gets the command. - Related: health of each job that ever completed a task (FailureAttribution), and plans that walked all jobs for their classes.

Why it works: memory follows open work, whatever the number of finished jobs.

Tests that walk ClusterState.jobs walk its values, since it is a dictionary now.

--- a/petrelthread/admin/api.py
+++ b/petrelthread/admin/api.py
@@ -8,11 +8,12 @@
 import asyncio
 import logging
 
+from petrelthread import protocol
 from petrelthread.admin import views
 from petrelthread.admin.controller_parts import ControllerParts
 from petrelthread.admin.settings_api import SettingsApi
 from petrelthread.http import NoResponseError, Response, error_response, json_response
-from petrelthread.store import SendRequest
+from petrelthread.store import SendRequest, StateResultUnknownError, StateUnavailableError
 
 log = logging.getLogger(__name__)
 
@@ -48,7 +49,11 @@
         # controllers.
         await self._parts.watch_cache.refresh()
         forwarded = None if DIRECT_QUERY in query else await self._forward_to_leader(path)
-        return forwarded or self._respond_locally(view, name)
+        if forwarded is not None:
+            return forwarded
+        if view == "jobs":
+            return await self._job_response(name)
+        return self._respond_locally(view)
 
     async def _forward_to_leader(self, path: str) -> Response | None:
         """Return the leader's response; None if this controller leads or there is no response."""
@@ -64,13 +69,22 @@
             return None
         return Response(response.status, response.body)
 
-    def _respond_locally(self, view: str, name: str) -> Response:
+    async def _job_response(self, job_id: str) -> Response:
+        parts = self._parts
+        job = parts.cluster_state.jobs_by_id.get(job_id)
+        if job is None and protocol.JOB_ID.match(job_id):
+            try:
+                stored = await parts.stored_job_reader.read(job_id)
+            except (StateUnavailableError, StateResultUnknownError) as error:
+                return error_response(503, f"job {job_id} could not be read: {error}", 1)
+            if stored is not None and stored.final_status is not None:
+                job = parts.cluster_state.detached_job(job_id, stored.record, stored.final_status)
+        if job is None:
+            return error_response(404, f"unknown job {job_id}")
+        return json_response(200, views.job_view(parts, job, asyncio.get_running_loop().time()))
+
+    def _respond_locally(self, view: str) -> Response:
         now = asyncio.get_running_loop().time()
         if view == "status":
             return json_response(200, views.status_view(self._parts, now))
-        if view == "zones":
-            return json_response(200, {"zones": views.zones_view(self._parts)})
-        job = self._parts.cluster_state.jobs_by_id.get(name)
-        if job is None:
-            return error_response(404, f"unknown job {name}")
-        return json_response(200, views.job_view(self._parts, job, now))
+        return json_response(200, {"zones": views.zones_view(self._parts)})
--- a/petrelthread/admin/controller_parts.py
+++ b/petrelthread/admin/controller_parts.py
@@ -6,6 +6,7 @@
 
 from petrelthread.admin.alerts import AlertTracker
 from petrelthread.fleet import Fleet, ZoneMonitor
+from petrelthread.history import StoredJobReader
 from petrelthread.http import LoadShedder
 from petrelthread.leadership import Election
 from petrelthread.pause_detector import PauseDetector
@@ -36,6 +37,10 @@
     def cluster_state(self) -> ClusterState:
         """Jobs, attempts and records, as read from the state service."""
 
+    @property
+    def stored_job_reader(self) -> StoredJobReader:
+        """Reads jobs that finished long ago from the state service."""
+
     @property
     def watch_cache(self) -> WatchCache:
         """The watch on the state service, which keeps ``cluster_state`` current."""
--- a/petrelthread/benchmark/populated_leader.py
+++ b/petrelthread/benchmark/populated_leader.py
@@ -83,6 +83,7 @@
         self.controller = Controller(self.settings, fail_request, random.Random(seed))
         self._random = random.Random(seed)
         self._job_count = 0
+        self._newest_job: Job | None = None
         self._stored: dict[int, list[Any]] = {}
         self._tasks_per_job = max(1, machines // RUNNING_JOBS)
         self.state: ClusterState = self.controller.cluster_state
@@ -109,7 +110,7 @@
             **{"cores": TASK_CORES, **attributes},
         )
         record = JobRecord.from_spec(msgspec.convert(spec, protocol.JobSpec), time.time())
-        job = self.state.add_job(str(spec["name_id"]), record)
+        job = self._newest_job = self.state.add_job(str(spec["name_id"]), record)
         self._stored[job.index] = encode(record)
         return job
 
@@ -138,9 +139,9 @@
     def _run_tasks(self, number: int, machine: int) -> list[protocol.TaskReport]:
         tasks = []
         for _ in range(int(MACHINE_CORES / TASK_CORES)):
-            if not self._job_count or self.state.jobs[-1].pending_count == 0:
-                self.add_pending_job(self._tasks_per_job, self._random.randrange(IMAGES))
-            job = self.state.jobs[-1]
+            job = self._newest_job
+            if job is None or job.pending_count == 0:
+                job = self.add_pending_job(self._tasks_per_job, self._random.randrange(IMAGES))
             task = next(job.pending_tasks())
             # A round of the previous epoch; the machine's heartbeat confirms its attempts.
             attempt = epoch_base_number(EPOCH - 1) + 1 + number
--- a/petrelthread/benchmark/rounds.py
+++ b/petrelthread/benchmark/rounds.py
@@ -75,7 +75,7 @@
 def _stored_keys(leader: PopulatedLeader) -> list[tuple[str, object]]:
     """Return the keys and values from which the leader's state is loaded: jobs and rounds."""
     state = leader.state
-    jobs = [(KeyKind.JOB.key(job.id), leader.stored_record(job)) for job in state.jobs]
+    jobs = [(KeyKind.JOB.key(job.id), leader.stored_record(job)) for job in state.jobs.values()]
     entries = [
         Placement(state.names.machines.name(machine), 1, attempt.job.id, attempt.task)
         for machine, attempts in state.attempts_by_machine.items()
--- a/petrelthread/controller/controller.py
+++ b/petrelthread/controller/controller.py
@@ -24,6 +24,7 @@
     WorkerStatusReader,
     ZoneMonitor,
 )
+from petrelthread.history import JobRestorer, ReadBudget, StoredJobReader
 from petrelthread.http import LoadShedder, Response
 from petrelthread.job_api import JobApi
 from petrelthread.leadership import ACTIVE_ROLES, ClaimWriter, Election, Role
@@ -37,7 +38,7 @@
 )
 from petrelthread.scheduling import ClusterView, RunTimeEstimates, Scheduler
 from petrelthread.settings import Settings
-from petrelthread.state import ClusterState, InternedNames
+from petrelthread.state import ClusterState, InternedNames, StoredJobs
 from petrelthread.store import SendRequest, StateClient, TokenBucket, WatchCache, WriteRates
 
 log = logging.getLogger(__name__)
@@ -114,7 +115,16 @@
         )
         names = InternedNames([team.name for team in cluster.teams], cluster.zones)
         self.cluster_state = ClusterState(names)
-        self.watch_cache = WatchCache(self.state_client, self._on_key, FOLLOWER_POLL_INTERVAL_S)
+        self.watch_cache = WatchCache(
+            self.state_client,
+            self._on_key,
+            FOLLOWER_POLL_INTERVAL_S,
+            StoredJobs(self.cluster_state),
+        )
+        self.stored_job_reader = StoredJobReader(
+            self.state_client, ReadBudget(self.state_client.request_bucket)
+        )
+        self._job_restorer = JobRestorer(self.cluster_state, self.stored_job_reader)
 
     def _build_leadership(self, randomness: random.Random) -> None:
         self.election = Election(
@@ -140,6 +150,7 @@
                 on_replicas_lost=lambda: self.provisioner.wake.set(),
                 on_run_time=self.estimates.add_run_time,
                 image_cache_gb=self._image_cache_gb,
+                on_unknown_job=self._job_restorer.request,
                 state_current_as_of=lambda: self.watch_cache.current_as_of,
             ),
         )
@@ -205,6 +216,7 @@
             self.watch_cache,
             self.state_client,
             self.provisioner.catalog,
+            self.stored_job_reader,
         )
         self.peer_monitor = PeerMonitor(
             self.settings.siblings,
@@ -255,6 +267,7 @@
             self.worker_status_reader,
             self.zone_monitor,
             self.cluster_view,
+            self.stored_job_reader,
             self._update_alerts,
         )
 
--- a/petrelthread/controller/housekeeping.py
+++ b/petrelthread/controller/housekeeping.py
@@ -10,6 +10,7 @@
 from petrelthread.controller.write_rate_manager import WriteRateManager
 from petrelthread.fleet import Fleet, HeartbeatHandler, WorkerStatusReader, ZoneMonitor
 from petrelthread.fleet.failure_detector import LEADER_DISCOVERY_MARGIN_S
+from petrelthread.history import StoredJobReader
 from petrelthread.leadership import Election
 from petrelthread.pause_detector import PauseDetector
 from petrelthread.peers import PeerMonitor
@@ -47,6 +48,7 @@
     worker_status_reader: WorkerStatusReader
     zone_monitor: ZoneMonitor
     cluster_view: ClusterView
+    stored_job_reader: StoredJobReader
     update_alerts: Callable[[float], None]
     _max_delay_s: float = field(default=0.0, init=False)  # of the event loop, since last logged
     _load_logged_at: float = field(default=0.0, init=False)
@@ -66,6 +68,7 @@
             self.write_rates.sample(now - slept_at)
             self.write_rates.update(self.peer_monitor, now)
             self._log_load(now)
+            self.fleet.drop_finished_jobs()
             if self._state_is_old(now):
                 await self.watch_cache.refresh()
             await self._resign_if_unreachable(now)
@@ -81,6 +84,8 @@
     def _log_load(self, now: float) -> None:
         if now - self._load_logged_at <= LOAD_LOG_INTERVAL_S:
             return
+        if log.isEnabledFor(logging.DEBUG):
+            self._log_finished_jobs()
         if self.election.is_leader and log.isEnabledFor(logging.DEBUG):
             starts = self.fleet.unacknowledged_starts
             log.debug(
@@ -95,6 +100,17 @@
             )
         self._max_delay_s, self._load_logged_at = 0.0, now
 
+    def _log_finished_jobs(self) -> None:
+        reader = self.stored_job_reader
+        log.debug(
+            "finished jobs: %d in memory; %d reads of stored jobs, %d answered by the cache,"
+            " %d refused",
+            len(self.fleet.cluster_state.finished_jobs),
+            reader.read_count,
+            reader.cache_hits,
+            reader.refused_count,
+        )
+
     def _check_zones(self, now: float) -> None:
         """Update the zone monitor and log which zones became unreachable or reachable again."""
         names = self.fleet.cluster_state.names.zones
--- a/petrelthread/controller/state_changes.py
+++ b/petrelthread/controller/state_changes.py
@@ -13,7 +13,7 @@
 from petrelthread.leadership import ACTIVE_ROLES, Election, Role
 from petrelthread.provisioning import Provisioner, ProvisioningOptions
 from petrelthread.scheduling import Scheduler
-from petrelthread.state import ClusterState, KeyKind, epoch_of
+from petrelthread.state import ClusterState, Job, KeyKind, epoch_of
 
 log = logging.getLogger(__name__)
 
@@ -52,16 +52,17 @@
             and self._handle_own_round(int(suffix), value)
         ):
             return
-        jobs_before = len(self._cluster_state.jobs)
+        accepted_before = self._cluster_state.accepted_count
         self._cluster_state.on_key(key, value, revision)
         if self._election.role is Role.LEADING:
-            job_accepted = kind == KeyKind.JOB and len(self._cluster_state.jobs) > jobs_before
-            self._wake_leader(job_accepted, job_finished=kind == KeyKind.FINAL_STATUS)
+            is_new = self._cluster_state.accepted_count > accepted_before
+            accepted = self._cluster_state.jobs_by_id[suffix] if is_new else None
+            self._wake_leader(accepted, job_finished=kind == KeyKind.FINAL_STATUS)
 
-    def _wake_leader(self, job_accepted: bool, job_finished: bool) -> None:
-        if job_accepted:
+    def _wake_leader(self, accepted: Job | None, job_finished: bool) -> None:
+        if accepted is not None:
             now = asyncio.get_running_loop().time()
-            self._provisioner.forecast.note_accepted(self._cluster_state.jobs[-1], now)
+            self._provisioner.forecast.note_accepted(accepted, now)
             self._scheduler.wake.set()
             self._provisioner.wake.set()
         elif job_finished:
--- a/petrelthread/emulator/state_service.py
+++ b/petrelthread/emulator/state_service.py
@@ -93,6 +93,8 @@
         query = {key: values[0] for key, values in parse_qs(url.query).items()}
         if url.path == "/keys":
             return self._list(query)
+        if url.path.startswith("/keys/"):
+            return self._get(unquote(url.path[len("/keys/") :]))
         if url.path == "/watch":
             return await self._watch(source, query)
         if url.path == "/multi":
@@ -110,6 +112,12 @@
 
     # ---- requests ----------------------------------------------------------------------------
 
+    def _get(self, key: str) -> tuple[int, Any]:
+        stored = self.keys.get(key)
+        if stored is None:
+            return HTTPStatus.NOT_FOUND, {"epoch": self._revision}
+        return HTTPStatus.OK, {"path": key, "v": stored.value, "stamp": stored.revision}
+
     def _list(self, query: dict[str, str]) -> tuple[int, Any]:
         found = [
             {"path": key, "v": stored.value, "stamp": stored.revision}
--- a/petrelthread/fleet/callbacks.py
+++ b/petrelthread/fleet/callbacks.py
@@ -22,6 +22,10 @@
     return UNLIMITED_CACHE_GB
 
 
+def _ignore_job(_job_id: str) -> None:
+    pass
+
+
 def _never_read() -> float:
     return float("-inf")
 
@@ -42,6 +46,9 @@
     image_cache_gb: Callable[[int], float] = _unlimited_cache_gb
     """Returns the size of the image cache of a machine type, given by index, in GB."""
 
+    on_unknown_job: Callable[[str], None] = _ignore_job
+    """A worker lists a task of the job with this id, which is not in memory."""
+
     state_current_as_of: Callable[[], float] = _never_read
     """Returns when the newest complete read of the state service began; event loop time."""
 
--- a/petrelthread/fleet/command_planner.py
+++ b/petrelthread/fleet/command_planner.py
@@ -44,11 +44,9 @@
         for task_report in heartbeat.tasks:
             job_id, task = task_report.job_and_index
             job = self._fleet.cluster_state.jobs_by_id.get(job_id)
-            if (
-                task_report.state != protocol.TaskState.EXITED
-                and job is not None
-                and job.final_status is not None
-            ):
+            if job is None:
+                self._fleet.callbacks.on_unknown_job(job_id)
+            elif task_report.state != protocol.TaskState.EXITED and job.final_status is not None:
                 commands.append(_stop(job_id, task, task_report.attempt))
         return commands
 
@@ -86,7 +84,9 @@
             job_id, task = task_report.job_and_index
             job = self._fleet.cluster_state.jobs_by_id.get(job_id)
             if job is None:
-                continue  # the job may not have been read yet, so no command is safe
+                # It finished long ago, or has not been read yet, so no command is safe.
+                self._fleet.callbacks.on_unknown_job(job_id)
+                continue
             attempt = attempts.get((job.index, task))
             if attempt is not None and attempt.number != task_report.attempt:
                 attempt = None
--- a/petrelthread/fleet/executed_starts.py
+++ b/petrelthread/fleet/executed_starts.py
@@ -102,6 +102,10 @@
         """Return since when a token above ``token`` is needed; None if it is not."""
         return self._withheld_since if self._withheld_token >= token else None
 
+    def jobs(self) -> set[int]:
+        """Return the indices of the jobs whose starts a late copy could repeat."""
+        return {key.job for tokens in self._tokens.values() for key in tokens}
+
     # ---- bound on the size of heartbeats ---------------------------------------------------------
 
     def direct_starts_left(self, machine: int, unacknowledged: int) -> int:
--- a/petrelthread/fleet/failure_attribution.py
+++ b/petrelthread/fleet/failure_attribution.py
@@ -112,10 +112,14 @@
     def on_finished(self, job: int) -> None:
         """Drop an unproven job that has its final status. Failures of proven jobs are kept."""
         if self.job_health(job) is not JobHealth.PROVEN:
-            self._job_health.pop(job, None)
-            self._machines_failed_on.pop(job, None)
-            for failures in self._failures_on.values():
-                failures.pop(job, None)
+            self.forget(job)
+
+    def forget(self, job: int) -> None:
+        """Drop all that is known about a job, proven or not."""
+        self._job_health.pop(job, None)
+        self._machines_failed_on.pop(job, None)
+        for failures in self._failures_on.values():
+            failures.pop(job, None)
 
     def restore(self, job: int, machines: list[int]) -> None:
         """Restore a job that a former leader recorded as suspect, with machines it failed on."""
--- a/petrelthread/fleet/fleet.py
+++ b/petrelthread/fleet/fleet.py
@@ -123,6 +123,16 @@
             )
         self.finished_tasks.clear()
 
+    def drop_finished_jobs(self) -> None:
+        """Drop finished jobs from memory, except recent ones and those that are still needed."""
+        needed = (
+            self.finished_tasks.keys()
+            | self.unacknowledged_starts.jobs()
+            | self.executed_starts.jobs()
+        )
+        dropped = self.cluster_state.drop_finished_jobs(lambda job: job.index in needed)
+        self.job_failures.forget(dropped)
+
     def on_heartbeat(
         self, heartbeat: protocol.WorkerHeartbeat, now: float, answered: bool
     ) -> Machine | None:
--- a/petrelthread/fleet/job_failures.py
+++ b/petrelthread/fleet/job_failures.py
@@ -67,8 +67,8 @@
         name = self._cluster_state.names.machines.name
         return {
             job.id: [name(index) for index in sorted(self.failed_on(job))[:MAX_RECORDED_MACHINES]]
-            for job in map(self._cluster_state.jobs.__getitem__, self._attribution.unproven())
-            if job.final_status is None
+            for job in map(self._cluster_state.open_jobs.get, self._attribution.unproven())
+            if job is not None
             and self.is_suspect(job)
             and job.id not in self._cluster_state.machines_by_suspect_job
         }
@@ -85,9 +85,14 @@
     def drop_finished(self) -> None:
         """Drop the failures of unproven jobs that have their final status."""
         for job in self._attribution.unproven():
-            if self._cluster_state.jobs[job].final_status is not None:
+            if job not in self._cluster_state.open_jobs:
                 self._attribution.on_finished(job)
 
+    def forget(self, jobs: list[Job]) -> None:
+        """Drop the failures and conclusions of jobs that are no longer in memory."""
+        for job in jobs:
+            self._attribution.forget(job.index)
+
     # ---- events ----------------------------------------------------------------------------------
 
     def on_completed(self, machine: Machine, job: Job, task: int) -> None:
--- a/petrelthread/fleet/unacknowledged_starts.py
+++ b/petrelthread/fleet/unacknowledged_starts.py
@@ -216,6 +216,10 @@
         for starts in self._by_machine.values():
             yield from starts.values()
 
+    def jobs(self) -> set[int]:
+        """Return the indices of the jobs whose starts are tracked."""
+        return {start.attempt.job.index for start in self._all()}
+
     def unanswered(self, min_token: int = 0) -> Iterator[UnacknowledgedStart]:
         """Iterate over the unanswered starts whose token is at least ``min_token``."""
         for start in self._all():
--- a/petrelthread/job_api/handler.py
+++ b/petrelthread/job_api/handler.py
@@ -9,7 +9,9 @@
 from http import HTTPStatus
 
 from petrelthread import protocol
+from petrelthread.history import StoredJobReader
 from petrelthread.http import Response, error_response
+from petrelthread.job_api.job_lookup import JobLookup
 from petrelthread.job_api.queries import JobQueries
 from petrelthread.job_api.submission import JobSubmission
 from petrelthread.settings import Settings
@@ -27,9 +29,11 @@
         watch_cache: WatchCache,
         client: StateClient,
         machine_types: Callable[[], tuple[protocol.MachineType, ...] | None],
+        stored_jobs: StoredJobReader,
     ) -> None:
         """``machine_types`` returns None until they are known."""
-        self._queries = JobQueries(cluster_state, watch_cache, client)
+        lookup = JobLookup(cluster_state, watch_cache, stored_jobs)
+        self._queries = JobQueries(cluster_state, lookup, client)
         self._submission = JobSubmission(
             settings, cluster_state, watch_cache, client, machine_types, self._queries
         )
--- a/petrelthread/job_api/submission.py
+++ b/petrelthread/job_api/submission.py
@@ -83,15 +83,17 @@
         check_runnable(spec, self._teams, self._machine_types())
 
     async def _refuse(self, job_id: str, error: SubmissionRefusedError) -> Response:
-        """Refuse a job unless it was accepted before.
+        """Refuse a job unless it was accepted before, even if it has finished long ago.
 
-        The watch cache may not contain an accepted job yet, so it is refreshed first.
+        A refusal that the user retries needs no read of a job that is not in memory.
         """
-        if not await self._watch_cache.refresh():
-            return state_service_unreachable()
-        if job_id in self._cluster_state.jobs_by_id:
-            return await self._queries.status_response(job_id)
-        return error_response(error.status, str(error), error.retry_after_s)
+        if not error.is_final:
+            if not await self._watch_cache.refresh():
+                return state_service_unreachable()
+            if job_id not in self._cluster_state.jobs_by_id:
+                return error_response(error.status, str(error), error.retry_after_s)
+        accepted = await self._queries.response_if_accepted(job_id)
+        return accepted or error_response(error.status, str(error), error.retry_after_s)
 
     def _write_wait_s(self) -> float:
         """How long a new submission would wait to be written, in seconds."""
--- a/petrelthread/job_api/validation.py
+++ b/petrelthread/job_api/validation.py
@@ -17,6 +17,11 @@
     status: HTTPStatus
     retry_after_s: int | None = None
 
+    @property
+    def is_final(self) -> bool:
+        """Whether the user does not submit the job again."""
+        return self.retry_after_s is None
+
 
 class UnschedulableJobError(SubmissionRefusedError):
     """The job can never run in this cluster."""
--- a/petrelthread/provisioning/demand.py
+++ b/petrelthread/provisioning/demand.py
@@ -76,7 +76,7 @@
         wall_clock_s = time.time()
         arrivals = [
             (now - (wall_clock_s - job.accepted_at), job.task_count * job.cores)
-            for job in self._cluster_state.jobs
+            for job in self._cluster_state.jobs.values()
             if job.is_service
         ]
         self._service_arrivals = Arrivals(arrivals, ramping=True)
@@ -112,8 +112,8 @@
         quotas = [TeamQuota(team.max_cores, team.max_accelerators) for team in self._view.teams]
         demands = self._expected_demands()
         for entry in order:
-            job = self._cluster_state.jobs[entry.job_index]
-            if job.final_status is not None:
+            job = self._cluster_state.open_jobs.get(entry.job_index)
+            if job is None:
                 continue
             quota = quotas[job.team]
             unfinished = self._unfinished_tasks(job, now)
@@ -232,7 +232,7 @@
         """Whether jobs of a class not seen yet must start before a booting machine is late."""
         boot_times_s = (machine_type.boot_s for machine_type in self._machine_types.values())
         late_s = LATE_BOOT_FACTOR * min(boot_times_s, default=0.0)
-        seen_classes = {job.job_class for job in self._cluster_state.jobs}
+        seen_classes = self._cluster_state.seen_job_classes
         return any(
             within_s <= late_s and index not in seen_classes
             for index, within_s in self._start_within_s.items()
--- a/petrelthread/scheduling/claim_applier.py
+++ b/petrelthread/scheduling/claim_applier.py
@@ -96,9 +96,7 @@
 
     def _complete(self, job: Job) -> None:
         self._fleet.finished_tasks.pop(job.index, None)
-        for attempt in list(job.live_attempts.values()):
-            self._cluster_state.release(attempt, task_finished=True)
-        self._cluster_state.set_final_status(job.id, protocol.JobStatus.DONE)
+        self._cluster_state.finish_job(job, protocol.JobStatus.DONE)
         log.debug(
             "job %s (class %s, team %s) done: %d tasks, %.1f s after acceptance, estimated minimum"
             " %.1f s",
@@ -124,7 +122,9 @@
     def _discard_recorded_tasks(self, record: FinishedTasksRecord) -> None:
         """Discard finished tasks that the committed record contains."""
         for finished in record:
-            job = self._cluster_state.jobs_by_id[finished.job_id]
+            job = self._cluster_state.jobs_by_id.get(finished.job_id)
+            if job is None:
+                continue  # it was cancelled while the claim was in flight, and dropped
             tasks = self._fleet.finished_tasks.get(job.index)
             if tasks is None:
                 continue
--- a/petrelthread/scheduling/round_planner.py
+++ b/petrelthread/scheduling/round_planner.py
@@ -129,8 +129,8 @@
         """Collect the placement requests of the open jobs, in scheduling order."""
         requests = _RoundRequests()
         for queued in order:
-            job = self._cluster_state.jobs[queued.job_index]
-            if job.final_status is not None:
+            job = self._cluster_state.open_jobs.get(queued.job_index)
+            if job is None:
                 continue
             requests.guaranteed[queued.job_index] = queued.guaranteed
             if job.is_gang and job.live_attempts:
--- a/petrelthread/state/__init__.py
+++ b/petrelthread/state/__init__.py
@@ -6,6 +6,7 @@
 from petrelthread.state.operation_state import IllegalTransitionError, OperationState, transition
 from petrelthread.state.record_numbers import RECORDS_PER_EPOCH, epoch_base_number, epoch_of
 from petrelthread.state.record_packing import Placement, pack_finished_tasks, pack_round_records
+from petrelthread.state.stored_jobs import StoredJobs
 from petrelthread.state.stored_records import (
     STOP_MARKER,
     FinishedTasks,
@@ -45,6 +46,7 @@
     "RoundEntry",
     "RoundRecord",
     "ScaleOutRecord",
+    "StoredJobs",
     "StoredOptions",
     "TaskKey",
     "TasksOfJob",
--- a/petrelthread/state/cluster_state.py
+++ b/petrelthread/state/cluster_state.py
@@ -2,6 +2,9 @@
 
 It is built only from the keys in the state service, so every controller has a copy when it
 becomes the leader. ``stored_records`` describes the keys and their values.
+
+It holds all open jobs. Of the finished ones it holds those that are still needed and a bounded
+number of recent ones; the others are only in the state service.
 """
 
 from __future__ import annotations
@@ -14,6 +17,7 @@
 from petrelthread.interner import InternedNames
 from petrelthread.state import stored_records
 from petrelthread.state.attempt_table import AttemptTable
+from petrelthread.state.finished_jobs import FinishedJobs
 from petrelthread.state.job import STOP_TIME_UNKNOWN, TASK_FINISHED, Attempt, Job, TaskKey
 from petrelthread.state.operation_state import OperationState
 from petrelthread.state.stored_records import (
@@ -30,6 +34,8 @@
 
 log = logging.getLogger(__name__)
 
+NO_INDEX = -1  # of a job that is not part of the state
+
 
 class _KeyHandler(NamedTuple):
     """How to apply changes of one kind of key; a name is the part of the key after its kind."""
@@ -47,9 +53,12 @@
 
     Attributes:
         names: interned names of the jobs, machines and teams.
-        jobs: all jobs, by index.
-        jobs_by_id: all jobs, by id.
-        open_jobs: jobs without a final status, by index.
+        jobs: the jobs in memory, by index; an index is never used again.
+        jobs_by_id: the same jobs, by id.
+        open_jobs: jobs without a final status, by index; all of them are in memory.
+        finished_jobs: the finished jobs in memory.
+        accepted_count: jobs that were ever added.
+        seen_job_classes: indices of the classes of all jobs that were ever stored.
         open_jobs_by_finished_task_record: by number of a record of finished tasks, the indices of
             the open jobs whose tasks it contains.
         machines_by_suspect_job: by id of a suspect job, one that fails everywhere, the names of
@@ -63,9 +72,12 @@
     def __init__(self, names: InternedNames) -> None:
         super().__init__()
         self.names = names
-        self.jobs: list[Job] = []
+        self.jobs: dict[int, Job] = {}
         self.jobs_by_id: dict[str, Job] = {}
         self.open_jobs: dict[int, Job] = {}
+        self.finished_jobs = FinishedJobs()
+        self.accepted_count = 0
+        self.seen_job_classes: set[int] = set()
         self.open_jobs_by_finished_task_record: dict[int, set[int]] = {}
         self.machines_by_suspect_job: dict[str, list[str]] = {}
         self.scale_out_records: dict[str, ScaleOutRecord] = {}
@@ -134,8 +146,10 @@
         """Add an accepted job and return it, or return the existing job with this id."""
         job = self.jobs_by_id.get(job_id)
         if job is None:
-            job = Job(len(self.jobs), job_id, record, self.names)
-            self.jobs.append(job)
+            job = Job(self.accepted_count, job_id, record, self.names)
+            self.accepted_count += 1
+            self.seen_job_classes.add(job.job_class)
+            self.jobs[job.index] = job
             self.jobs_by_id[job_id] = job
             self.open_jobs[job.index] = job
             final_status = self._early_final_statuses.pop(job_id, None)
@@ -149,16 +163,63 @@
         if job is None:
             self._early_final_statuses[job_id] = final_status  # the job's key may be read later
             return
-        if job.final_status is None:
-            job.final_status = final_status
-            self.open_jobs.pop(job.index, None)
-            for number in job.finished_task_records:
-                open_jobs = self.open_jobs_by_finished_task_record.get(number)
-                if open_jobs is not None:
-                    open_jobs.discard(job.index)
-            if final_status == protocol.JobStatus.DONE:
-                job.finished_count = job.task_count
-            job.task_states = bytearray()
+        self.finish_job(job, final_status)
+
+    def finish_job(self, job: Job, final_status: str) -> None:
+        """Set the final status of a job that was in memory; the first status is kept.
+
+        A job is done when each task has finished, so that its attempts have ended. Tasks of a
+        cancelled job may still run.
+        """
+        if job.final_status is not None:
+            return
+        for number in job.finished_task_records:
+            open_jobs = self.open_jobs_by_finished_task_record.get(number)
+            if open_jobs is not None:
+                open_jobs.discard(job.index)
+        job.finish(final_status)
+        if final_status == protocol.JobStatus.DONE:
+            for attempt in list(job.live_attempts.values()):
+                self.release(attempt, task_finished=True)
+        self.open_jobs.pop(job.index, None)
+        self.finished_jobs.add(job)
+
+    def restore_finished_job(self, job_id: str, record: JobRecord, final_status: str) -> Job:
+        """Add a finished job that was read from the state service, or return the one in memory."""
+        job = self.add_job(job_id, record)
+        self.finish_job(job, final_status)
+        return job
+
+    def detached_job(self, job_id: str, record: JobRecord, final_status: str) -> Job:
+        """Return a finished job that is not part of this state, to show it to an operator."""
+        job = Job(NO_INDEX, job_id, record, self.names)
+        job.finish(final_status)
+        return job
+
+    def drop_finished_jobs(self, is_needed: Callable[[Job], bool]) -> list[Job]:
+        """Drop the oldest finished jobs beyond the retained number from memory.
+
+        A job stays while it has an attempt that may be running or a record of a suspect job.
+
+        Args:
+            is_needed: returns whether a finished job is needed for another reason.
+
+        Returns:
+            The dropped jobs.
+        """
+        dropped = self.finished_jobs.take_unneeded(
+            lambda job: (
+                bool(job.live_attempts) or job.id in self.machines_by_suspect_job or is_needed(job)
+            )
+        )
+        for job in dropped:
+            del self.jobs[job.index]
+            del self.jobs_by_id[job.id]
+        return dropped
+
+    def note_job_class(self, name: str) -> None:
+        """Note the class of a finished job that is not added."""
+        self.seen_job_classes.add(self.names.job_classes.index(name))
 
     def mark_task_finished(self, job: Job, task: int) -> None:
         """Count a task as finished and release its attempt."""
@@ -258,8 +319,8 @@
     def _job_of_record(self, kind: KeyKind, number: int, job_id: str) -> Job | None:
         """Return a job that a record names; None if the job's key has not been read.
 
-        That is unexpected: a job's key is written before any record that names the job, and is
-        never deleted.
+        That is unexpected: a job's key is written before any record that names the job, and a
+        finished job that a record names is not omitted when all keys are read.
         """
         job = self.jobs_by_id.get(job_id)
         if job is None:
@@ -281,4 +342,4 @@
 
 
 def _ignore(name: str) -> None:
-    """Ignore the deletion of a job's keys: known jobs are never removed from this state."""
+    """Ignore the deletion of a job's keys, which are never deleted."""
--- a/petrelthread/state/job.py
+++ b/petrelthread/state/job.py
@@ -136,7 +136,7 @@
     One object with slots has all attributes, because placement reads them for every task.
 
     Attributes:
-        index: position in ``ClusterState.jobs``.
+        index: key in ``ClusterState.jobs``.
         final_status: None while the job is open.
         task_states: one byte for each task: TASK_PENDING, TASK_LIVE or TASK_FINISHED; empty once
             the job has a final status.
@@ -199,6 +199,14 @@
         self.deadline_s = record.deadline_s
         self.accepted_at = record.accepted_at
 
+    def finish(self, final_status: str) -> None:
+        """Set the final status, and drop what only an open job needs."""
+        self.final_status = final_status
+        if final_status == protocol.JobStatus.DONE:
+            self.finished_count = self.task_count
+        self.task_states = bytearray()
+        self.finished_task_records = []
+
     def lost_work_s(self, ran_s: float, stopped: bool) -> float:
         """Seconds of work that are lost if an attempt ends.
 
--- a/petrelthread/state/test_cluster_state.py
+++ b/petrelthread/state/test_cluster_state.py
@@ -50,7 +50,7 @@
 ) -> None:
     """Add an attempt, or release an earlier one or set its reported state."""
     action = randomness.random()
-    job = randomness.choice(cluster_state.jobs)
+    job = randomness.choice(list(cluster_state.jobs.values()))
     if action < 0.5:
         without_attempt = [task for task in range(job.task_count) if task not in job.live_attempts]
         if without_attempt:
@@ -94,7 +94,7 @@
     cluster_state_with: ClusterStateMaker, seed: int
 ) -> None:
     cluster_state = cluster_state_with({f"wk-{n:06d}": 6 for n in range(4)})
-    for n, job in enumerate(cluster_state.jobs):
+    for n, job in enumerate(cluster_state.jobs.values()):
         job.team, job.cores, job.ram_gb = n % 2, 0.1 * (n + 1), 0.7 * n
     randomness = random.Random(seed)
     attempts: list[Attempt] = []
--- a/petrelthread/store/__init__.py
+++ b/petrelthread/store/__init__.py
@@ -1,6 +1,7 @@
 """Access to the state service: a rate-limited client, a cache of its keys, and write quotas."""
 
 from petrelthread.store.client import SendRequest, StateClient
+from petrelthread.store.closable_entries import ClosableEntries
 from petrelthread.store.errors import (
     LeaseExpiredError,
     StateRateLimitedError,
@@ -17,6 +18,7 @@
 
 __all__ = [
     "KEY_PREFIX",
+    "ClosableEntries",
     "LeaseExpiredError",
     "SendRequest",
     "StateClient",
--- a/petrelthread/store/client.py
+++ b/petrelthread/store/client.py
@@ -132,6 +132,14 @@
         _expect_ok(response)
         return _decode(response.body, protocol.KeyPage)
 
+    async def read_key(self, key: str, timeout: float = REQUEST_TIMEOUT_S) -> Any:
+        """Read the value of one key, as of a time after this call; None if it does not exist."""
+        response = await self._call("GET", f"/keys/{key}", timeout=timeout)
+        if response.status == HTTPStatus.NOT_FOUND:
+            return None
+        _expect_ok(response)
+        return _decode(response.body, protocol.KeyValue).value
+
     async def watch(
         self,
         prefix: str,
--- a/petrelthread/store/watch_cache.py
+++ b/petrelthread/store/watch_cache.py
@@ -9,6 +9,7 @@
 
 from petrelthread import protocol
 from petrelthread.store.client import StateClient
+from petrelthread.store.closable_entries import ClosableEntries
 from petrelthread.store.errors import StateResultUnknownError, StateUnavailableError
 from petrelthread.store.snapshot import read_snapshot
 
@@ -25,9 +26,12 @@
 class WatchCache:
     """Follows all keys below ``KEY_PREFIX`` and calls a listener once for each change, in order.
 
+    A load omits closed entries that need not be kept; the listener is not called for these.
+
     Attributes:
         poll_interval_s: pause between two watches.
-        revisions: revision of the last change by key without prefix; deleted keys are absent.
+        revisions: revision of the last change by key without prefix; absent are deleted keys, and
+            closable entries and their closing keys, which never change.
         revision: the listener was called for all changes up to this revision.
         loaded: set once all keys have been read.
         current_as_of: event loop time; the listener was called for all changes made until then.
@@ -35,8 +39,26 @@
             during the read.
     """
 
-    def __init__(self, client: StateClient, listener: Listener, poll_interval_s: float) -> None:
+    def __init__(
+        self,
+        client: StateClient,
+        listener: Listener,
+        poll_interval_s: float,
+        entries: ClosableEntries | None = None,
+    ) -> None:
+        """Read nothing yet.
+
+        Args:
+            client: the state service.
+            listener: called for each change.
+            poll_interval_s: pause between two watches.
+            entries: which keys are closable entries; None if no key is.
+        """
         self._client = client
+        self._entries = entries
+        self._unversioned_prefixes = (
+            (entries.entry_prefix, entries.closing_prefix) if entries is not None else ()
+        )
         self._listener = listener
         self.poll_interval_s = poll_interval_s
         self.revisions: dict[str, int] = {}
@@ -57,7 +79,7 @@
                 listener was not called.
         """
         started_at = asyncio.get_running_loop().time()
-        snapshot = await read_snapshot(self._client, KEY_PREFIX)
+        snapshot = await read_snapshot(self._client, KEY_PREFIX, self._entries)
         notified_revision = self.revision  # a watch may have raised it during the read
         for key, revision in list(self.revisions.items()):
             if key not in snapshot.values and revision <= snapshot.revision:
@@ -72,7 +94,7 @@
     def _notify(self, key: str, value: object, revision: int) -> None:
         if value is None:
             self.revisions.pop(key, None)
-        else:
+        elif not key.startswith(self._unversioned_prefixes):
             self.revisions[key] = revision
         self._listener(key, value, revision)
 
--- a/tests/stored_history.py
+++ b/tests/stored_history.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import orjson
@@ -37,9 +38,7 @@
     async def write(self, transactions: int) -> None:
         """Apply some random transactions."""
         for _ in range(transactions):
-            operations = self._random.choice(
-                (self._accept, self._accept, self._start, self._start, self._finish, self._cancel)
-            )()
+            operations = self._random.choice(self._actions())()
             if not operations:
                 continue
             status, answer = await self._service.handle(
@@ -48,6 +47,16 @@
             assert status == 200
             self._observe(operations, answer["epoch"])
 
+    def _actions(self) -> Sequence[Callable[[], list[dict[str, Any]]]]:
+        return (
+            self._accept,
+            self._accept,
+            self._start,
+            self._start,
+            self._finish,
+            self._cancel,
+        )
+
     def _observe(self, operations: list[dict[str, Any]], revision: int) -> None:
         for operation in operations:
             key = operation.get("put") or operation["drop"]
@@ -96,6 +105,66 @@
         return [{"put": f"{KEY_PREFIX}f/{job_id}", "v": "aborted"}]
 
 
+class LongHistoryWriter(HistoryWriter):
+    """Also completes jobs, records suspect ones, and deletes records that are no longer needed.
+
+    As in the service, no task of a job starts after the job has its final status.
+    """
+
+    def __init__(self, service: StateService, randomness: random.Random) -> None:
+        super().__init__(service, randomness)
+        self._final: set[str] = set()
+        self._finished_task_records: dict[int, str] = {}  # by number, the job
+        self._suspects: set[str] = set()
+
+    def _actions(self) -> Sequence[Callable[[], list[dict[str, Any]]]]:
+        more = (self._finish, self._finish, self._complete, self._complete)
+        return (*super()._actions(), *more, self._suspect, self._clean_up)
+
+    def _cancel(self) -> list[dict[str, Any]]:
+        operations = super()._cancel()
+        self._final |= {str(o["put"]).rpartition("/")[2] for o in operations}
+        return operations
+
+    def _finish(self) -> list[dict[str, Any]]:
+        operations = super()._finish()
+        self._pending = {entry for entry in self._pending if entry[0] not in self._final}
+        for operation in operations:
+            if "put" in operation:
+                number = int(operation["put"].rpartition("/")[2])
+                self._finished_task_records[number] = operation["v"][0][0]
+        return operations
+
+    def _complete(self) -> list[dict[str, Any]]:
+        """Write the final status of a job without pending and running tasks."""
+        unfinished = {job_id for job_id, _ in [*self._pending, *self._running.values()]}
+        complete = sorted(self._task_counts.keys() - unfinished - self._final)
+        if not complete:
+            return []
+        job_id = self._random.choice(complete)
+        self._final.add(job_id)
+        return [{"put": f"{KEY_PREFIX}f/{job_id}", "v": "done"}]
+
+    def _suspect(self) -> list[dict[str, Any]]:
+        suspects = sorted(self._suspects)
+        if suspects and self._random.random() < 0.5:
+            job_id = self._random.choice(suspects)
+            self._suspects.remove(job_id)
+            return [{"drop": f"{KEY_PREFIX}s/{job_id}"}]
+        candidates = sorted(self._task_counts.keys() - self._final - self._suspects)
+        if not candidates:
+            return []
+        job_id = self._random.choice(candidates)
+        self._suspects.add(job_id)
+        return [{"put": f"{KEY_PREFIX}s/{job_id}", "v": ["host-000001"]}]
+
+    def _clean_up(self) -> list[dict[str, Any]]:
+        obsolete = [n for n, job_id in self._finished_task_records.items() if job_id in self._final]
+        for number in obsolete[:8]:
+            del self._finished_task_records[number]
+        return [{"drop": f"{KEY_PREFIX}d/{number}"} for number in obsolete[:8]]
+
+
 def new_cluster_state() -> ClusterState:
     return ClusterState(InternedNames(["red"], ["a"]))
 
@@ -109,7 +178,7 @@
             job.finished_count,
             {task: (a.number, machine_name(a.machine)) for task, a in job.live_attempts.items()},
         )
-        for job in state.jobs
+        for job in state.jobs.values()
     }
     finished = {
         number: {state.jobs[index].id for index in indices}
--- a/tests/test_golden_stored_keys.py
+++ b/tests/test_golden_stored_keys.py
@@ -92,7 +92,7 @@
             attempt_facts(cluster_state, attempt)
             for _, attempt in sorted(job.live_attempts.items())
         ]
-        for job in cluster_state.jobs
+        for job in cluster_state.jobs.values()
     }
     machines = sorted(cluster_state.recorded_machines())
     expect(
--- a/tests/test_transaction_limits_and_reload.py
+++ b/tests/test_transaction_limits_and_reload.py
@@ -75,7 +75,7 @@
             for machine, attempts in leader.state.attempts_by_machine.items()
             for attempt in attempts.values()
         }
-        for job in leader.state.jobs:
+        for job in leader.state.jobs.values():
             store.put(f"{KEY_PREFIX}j/{job.id}", leader.stored_record(job))
         for n, (job_id, task, machine) in enumerate(sorted(recorded_attempts)):
             name = leader.state.names.machines.name(machine)
