Drop machines from memory ten minutes after their return

A leader kept an object for each machine that it had ever returned, until the next election, and the failure check, the plan, zones and views walked them all.

Cause: MachineRegistry dropped terminated machines only at the beginning of an epoch; they are kept so that late copies of their heartbeats are recognized.

Change: Fleet.drop_past drops them 600 s after the confirmed return. A later copy adds the machine anew, as after each election; it is then returned as unresponsive.

Test: test_a_leader_drops_machines_that_were_returned_long_ago (virtual time) failed on the parent: the returned machines were all there after 615 s.

--- a/petrelthread/controller/housekeeping.py
+++ b/petrelthread/controller/housekeeping.py
@@ -68,7 +68,7 @@
             self.write_rates.sample(now - slept_at)
             self.write_rates.update(self.peer_monitor, now)
             self._log_load(now)
-            self.fleet.drop_finished_jobs()
+            self.fleet.drop_past(now)
             if self._state_is_old(now):
                 await self.watch_cache.refresh()
             await self._resign_if_unreachable(now)
--- a/petrelthread/fleet/fleet.py
+++ b/petrelthread/fleet/fleet.py
@@ -123,6 +123,11 @@
             )
         self.finished_tasks.clear()
 
+    def drop_past(self, now: float) -> None:
+        """Drop finished jobs and terminated machines that are no longer needed from memory."""
+        self.drop_finished_jobs()
+        self.drop_terminated(now)
+
     def drop_finished_jobs(self) -> None:
         """Drop finished jobs from memory, except recent ones and those that are still needed."""
         needed = (
--- a/petrelthread/fleet/machine.py
+++ b/petrelthread/fleet/machine.py
@@ -82,6 +82,7 @@
 
     # Life cycle
     health: Health = Health.BOOTING
+    terminated_at: float = 0.0  # when the cloud's confirmation of the scale-in arrived
     registered_at: float = field(init=False)  # when this leader first learned of it
     rented_at: float = field(init=False)
     idle_since: float = field(init=False)  # when it last had a task, or became UP
--- a/petrelthread/fleet/machine_registry.py
+++ b/petrelthread/fleet/machine_registry.py
@@ -7,6 +7,8 @@
 from petrelthread.fleet.machine import Health, Machine
 from petrelthread.state import Attempt, ClusterState, KeyKind, OperationState, TaskKey, transition
 
+# How long a terminated machine is kept, so that late copies of its heartbeats are recognized.
+TERMINATED_RETENTION_S = 600.0
 NO_EPOCH = -1  # the epoch of a controller that does not lead
 
 
@@ -85,6 +87,17 @@
         for machine in self.machines.values():
             self._reset_observations(machine, now)
 
+    def drop_terminated(self, now: float) -> None:
+        """Drop the machines that were scaled in long ago."""
+        self._drop(
+            [
+                machine
+                for machine in self.machines.values()
+                if machine.health is Health.TERMINATED
+                and now - machine.terminated_at > TERMINATED_RETENTION_S
+            ]
+        )
+
     def _drop(self, machines: list[Machine]) -> None:
         for machine in machines:
             del self.machines[machine.index]
--- a/petrelthread/provisioning/scale_in.py
+++ b/petrelthread/provisioning/scale_in.py
@@ -115,6 +115,7 @@
         if machine.health is not Health.TERMINATING:
             machine.transition(Health.TERMINATING)
         machine.transition(Health.TERMINATED)
+        machine.terminated_at = now
         self._offer_backoff.reset(OfferKey(machine.machine_type, machine.zone, machine.spot))
 
     async def _delete_records(self, operation: ScaleInOperation) -> None:
--- a/tests/test_memory_of_finished_jobs.py
+++ b/tests/test_memory_of_finished_jobs.py
@@ -1,4 +1,4 @@
-"""A controller's memory follows the open jobs, not the number of jobs that were ever accepted.
+"""A controller's memory follows the open jobs and the machines in use, not the service's past.
 
 Postmortem: docs/incidents/finished-jobs-fill-memory-postmortem.md.
 """
@@ -15,9 +15,10 @@
 import pytest
 
 from petrelthread.controller import Controller
+from petrelthread.fleet import Health
 from petrelthread.http import ClientResponse
 from petrelthread.store import KEY_PREFIX
-from tests.simulation import Simulation, settings_of
+from tests.simulation import Simulation, job_spec, settings_of
 from tests.stored_history import stored_job
 from tests.virtual_time import run_in_virtual_time
 
@@ -25,6 +26,7 @@
 MAX_DIFFERENCE_BYTES = 10_000_000  # issue 64: whatever the number of finished jobs
 MAX_FINISHED_IN_MEMORY = 2500
 REVISION = 7
+LONG_AGO_S = 610.0
 
 
 class FinishedJobsInStore:
@@ -112,3 +114,25 @@
         assert len(node.watch_cache.revisions) <= MAX_FINISHED_IN_MEMORY
 
     run_in_virtual_time(main())
+
+
+def test_a_leader_drops_machines_that_were_returned_long_ago() -> None:
+    """Guards against memory and walks of all machines that grow with each machine ever rented."""
+
+    async def main() -> None:
+        simulation = Simulation()
+        leader = await simulation.wait_for_leader()
+        await simulation.submit(job_spec("wk-000001", 8))
+        await simulation.wait_until_jobs_final(60.0)
+        fleet = simulation.nodes[leader].fleet
+        while simulation.cloud.machines:
+            await asyncio.sleep(1.0)
+        await asyncio.sleep(5.0)
+        returned = list(fleet.machines.values())
+        assert returned
+        assert all(machine.health is Health.TERMINATED for machine in returned)
+        await asyncio.sleep(LONG_AGO_S)
+        assert simulation.leader == leader
+        assert not fleet.machines
+
+    run_in_virtual_time(main())
