Look for needed finished jobs only while there are too many in memory

Need: housekeeping collected the jobs of all tracked starts twice a second, also where no finished job was to be dropped, which costs time that grows with the starts of thousands of machines.

Change: Fleet.drop_finished_jobs returns at once unless more jobs are in memory than are retained. The comment on superseded starts in unacknowledged_starts.py says what CommandPlanner does since.

--- a/petrelthread/fleet/fleet.py
+++ b/petrelthread/fleet/fleet.py
@@ -130,6 +130,8 @@
 
     def drop_finished_jobs(self) -> None:
         """Drop finished jobs from memory, except recent ones and those that are still needed."""
+        if not self.cluster_state.finished_jobs.excess:
+            return
         needed = (
             self.finished_tasks.keys()
             | self.unacknowledged_starts.jobs()
--- a/petrelthread/fleet/unacknowledged_starts.py
+++ b/petrelthread/fleet/unacknowledged_starts.py
@@ -27,8 +27,8 @@
 superseded   The attempt has certainly ended without finishing its task:
              ``AttemptOutcomes.supersede`` [SUPERSEDED], called by ``TaskReconciler`` when the task
              has exited or its absence proves that it ended, by ``HeartbeatReconciler`` for a new
-             incarnation, by ``mark_lost``, and by ``CommandPlanner`` for an unwanted start that was
-             never listed. The task may start elsewhere.
+             incarnation, by ``mark_lost``, and by ``CommandPlanner`` for an unwanted start that is
+             not listed and that no late copy of a command can begin. The task may start elsewhere.
 finished     The task is done: ``AttemptOutcomes.finish``. The next claim records it, and
              ``ClusterState.release`` drops the attempt.
 ============ =======================================================================================
--- a/petrelthread/state/finished_jobs.py
+++ b/petrelthread/state/finished_jobs.py
@@ -31,12 +31,14 @@
         """Add a job that has just got its final status."""
         self._jobs[job.index] = job
 
+    @property
+    def excess(self) -> int:
+        """How many jobs are in memory beyond the retained number."""
+        return max(0, len(self._jobs) - self.retained_count)
+
     def take_unneeded(self, is_needed: Callable[[Job], bool]) -> list[Job]:
         """Remove the oldest jobs beyond the retained number, except needed ones; return them."""
-        excess = len(self._jobs) - self.retained_count
-        if excess <= 0:
-            return []
-        oldest = list(self._jobs.values())[:excess]
+        oldest = list(self._jobs.values())[: self.excess]
         unneeded = [job for job in oldest if not is_needed(job)]
         for job in unneeded:
             del self._jobs[job.index]
