Read all keys in order, and records for their references only after an election

Cause: the read that omits finished jobs asked for the keys that follow the jobs first, always.

Change: the keys that follow the jobs are read ahead only if there was an election, since only leaders write records. All keys are then read in order, final statuses side by side with jobs, and no page twice at the beginning. It saves up to two requests a read.

Tests: a store without an election is read without an empty page; histories also on one page.

--- a/petrelthread/state/stored_jobs.py
+++ b/petrelthread/state/stored_jobs.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Any
 
 from petrelthread.state.cluster_state import ClusterState
@@ -37,6 +37,10 @@
             return [finished.job_id for finished in decode_finished_tasks(value)]
         return [name] if kind == KeyKind.SUSPECT_JOB else []
 
+    def may_be_referenced(self, values: Mapping[str, Any]) -> bool:
+        """Whether records may exist: leaders write them, so not before the first election."""
+        return KeyKind.EPOCH in values
+
     def is_open(self, name: str) -> bool:
         """Whether the job is in memory without a final status."""
         job = self._cluster_state.jobs_by_id.get(name)
--- a/petrelthread/store/closable_entries.py
+++ b/petrelthread/store/closable_entries.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Any, Protocol
 
 
@@ -29,6 +29,9 @@
     def references(self, key: str, value: Any) -> Iterable[str]:
         """Names of the entries that another key's value needs; they are kept."""
 
+    def may_be_referenced(self, values: Mapping[str, Any]) -> bool:
+        """Whether any other key may reference an entry, given all keys that sort before both."""
+
     def is_open(self, name: str) -> bool:
         """Whether the listener takes the entry for open, so that it must learn of its closing."""
 
--- a/petrelthread/store/closed_entry_omission.py
+++ b/petrelthread/store/closed_entry_omission.py
@@ -38,37 +38,39 @@
         self._entries = entries
         self._first_revision = first_revision
         self._referenced: set[str] = set()
-        self._closing: dict[str, VersionedValue] = {}  # by name of entries not added yet
+        self._added: dict[str, VersionedValue] = {}  # by name of entries not decided on yet
+        self._closing: dict[str, VersionedValue] = {}  # by name of such entries, and later ones
         self._kept: dict[str, VersionedValue] = {}  # by key
         self._recent: list[_ClosedEntry] = []  # a heap, so that the first is the oldest
         self.omitted_count = 0
 
-    def is_entry_key(self, key: str) -> bool:
-        """Whether a key is that of an entry, or closes one."""
-        return key.startswith((self._entries.entry_prefix, self._entries.closing_prefix))
-
-    def set_referenced(self, values: Mapping[str, VersionedValue]) -> None:
-        """Keep the entries that other keys reference; called before entries are added."""
+    def add_references(self, values: Mapping[str, VersionedValue]) -> None:
+        """Keep the entries that these keys reference; called before ``omit_closed``."""
         for key, versioned in values.items():
             self._referenced.update(self._entries.references(key, versioned.value))
 
-    def add_closing(self, key: str, closing: VersionedValue) -> None:
-        """Add a key that closes an entry, before that entry; other keys are ignored."""
-        if key.startswith(self._entries.closing_prefix):
-            self._closing[key[len(self._entries.closing_prefix) :]] = closing
-
-    def add_entry(self, key: str, entry: VersionedValue) -> None:
-        """Add an entry, once its closing key was added if there is one; ignores other keys."""
-        if not key.startswith(self._entries.entry_prefix):
-            return
-        name = key[len(self._entries.entry_prefix) :]
-        closing = self._closing.pop(name, None)
-        if closing is None:
-            self._kept[key] = entry
-        elif self._is_needed(name, closing):
-            self._keep(name, entry, closing)
+    def add(self, key: str, value: VersionedValue) -> bool:
+        """Add an entry or a closing key; return False for any other key."""
+        entry_prefix, closing_prefix = self._entries.entry_prefix, self._entries.closing_prefix
+        if key.startswith(closing_prefix):
+            self._closing[key[len(closing_prefix) :]] = value
+        elif key.startswith(entry_prefix):
+            self._added[key[len(entry_prefix) :]] = value
         else:
-            self._add_recent(_ClosedEntry(closing.revision, name, entry, closing))
+            return False
+        return True
+
+    def omit_closed(self) -> None:
+        """Decide on the entries added since the last call, whose closing keys were added too."""
+        for name, entry in self._added.items():
+            closing = self._closing.pop(name, None)
+            if closing is None:
+                self._kept[self._entries.entry_prefix + name] = entry
+            elif self._is_needed(name, closing):
+                self._keep(name, entry, closing)
+            else:
+                self._add_recent(_ClosedEntry(closing.revision, name, entry, closing))
+        self._added.clear()
 
     def _is_needed(self, name: str, closing: VersionedValue) -> bool:
         return (
--- a/petrelthread/store/snapshot.py
+++ b/petrelthread/store/snapshot.py
@@ -7,14 +7,16 @@
 
 Closed entries (``ClosableEntries``) are omitted while the pages arrive, so that the memory that a
 read needs does not grow with their number. This is safe at any revision because neither an entry
-nor the key that closes it ever changes. All other keys are read before the entries, since a closed
-entry that one of them references is kept.
+nor the key that closes it ever changes. A closed entry that another key references is kept, so the
+keys that sort after the entries are read twice: first for their references.
 """
 
 from __future__ import annotations
 
 import asyncio
 import logging
+from collections.abc import Iterable
+from dataclasses import dataclass
 from typing import NamedTuple
 
 from petrelthread import protocol
@@ -87,6 +89,31 @@
         raise StateUnavailableError("an entry was shown as open while it was read as closed")
 
 
+class _KeyRange(NamedTuple):
+    """All keys with a prefix."""
+
+    prefix: str
+
+    @property
+    def end(self) -> str:
+        """The first string that sorts after all keys of the range."""
+        return _successor(self.prefix)
+
+
+@dataclass
+class _ClosingCursor:
+    """How far the closing keys have been read."""
+
+    range: _KeyRange
+    after: str  # the last key read
+    more: bool
+
+    @property
+    def last_name(self) -> str:
+        """Name of the entry that the last key read closes; empty if none was read."""
+        return self.after[len(self.range.prefix) :]
+
+
 class _SnapshotReader:
     """One read of all keys with a prefix.
 
@@ -123,65 +150,65 @@
             self._keep(page.items)
 
     async def read_without_closed(self, entries: ClosableEntries) -> None:
-        """Read all keys, and omit closed entries that need not be kept.
+        """Read all keys in order, and omit closed entries that need not be kept.
 
         Keys of kinds that sort between the entries and their closing keys are not read.
         """
-        first, last = sorted((entries.closing_prefix, entries.entry_prefix))
+        closing_range = _KeyRange(self._prefix + entries.closing_prefix)
         page, after = await self._read_page(self._prefix, None)
-        while page.more and after < self._prefix + first:
+        while page.more and after < closing_range.prefix:
             self._keep(page.items)
             page, after = await self._read_page(self._prefix, after)
         omission = ClosedEntryOmission(entries, self.first_revision)
-        others = [item for item in page.items if not omission.is_entry_key(self._name(item))]
-        self._keep(others)
-        if page.more:
-            await self._keep_all_after(self._prefix + _successor(last))
-        omission.set_referenced(self.values)
-        if page.more:
-            await self._read_entries(entries, omission)
-        else:
-            self._take_entries(page.items, omission)
+        self._take(page.items, omission)
+        omission.add_references(self.values)
+        if page.more and entries.may_be_referenced(self.values):
+            await self._read_references(self._prefix + _successor(entries.entry_prefix), omission)
+        closing = _ClosingCursor(closing_range, after, page.more and after < closing_range.end)
+        if closing.more:
+            after = closing_range.end
+        omission.omit_closed()
+        while page.more:
+            page, after = await self._read_page(self._prefix, after)
+            await self._read_closing(closing, self._last_entry(page, entries), omission)
+            self._take(page.items, omission)
+            omission.omit_closed()
         self.values.update(omission.kept())
         self.omitted_count = omission.omitted_count
 
-    async def _keep_all_after(self, after: str) -> None:
+    async def _read_references(self, after: str, omission: ClosedEntryOmission) -> None:
+        """Read the keys that sort after the entries, for the entries that they reference."""
         more = True
         while more:
             page, after = await self._read_page(self._prefix, after)
-            self._keep(page.items)
             more = page.more
+            omission.add_references(
+                {self._name(item): VersionedValue(item.value, item.revision) for item in page.items}
+            )
 
-    async def _read_entries(self, entries: ClosableEntries, omission: ClosedEntryOmission) -> None:
-        """Read entries and their closing keys side by side, in order of their names."""
-        prefix = self._prefix + entries.entry_prefix
-        closing_prefix = self._prefix + entries.closing_prefix
-        after = closed_after = None
-        more = more_closing = True
-        while more:
-            page, after = await self._read_page(prefix, after)
-            more = page.more
-            last_name = after[len(prefix) :]
-            while more_closing and (closed_after or "")[len(closing_prefix) :] < last_name:
-                closing, closed_after = await self._read_page(closing_prefix, closed_after)
-                more_closing = closing.more
-                self._add_closing(closing.items, omission)
-            self._take_entries(page.items, omission)
-
-    def _take_entries(
-        self, items: tuple[protocol.KeyValue, ...], omission: ClosedEntryOmission
+    async def _read_closing(
+        self, closing: _ClosingCursor, last_entry: str | None, omission: ClosedEntryOmission
     ) -> None:
-        self._add_closing(items, omission)
-        for item in items:
-            omission.add_entry(self._name(item), VersionedValue(item.value, item.revision))
+        """Read closing keys up to that of the entry named ``last_entry``."""
+        while closing.more and last_entry is not None and closing.last_name < last_entry:
+            page, closing.after = await self._read_page(closing.range.prefix, closing.after)
+            closing.more = page.more
+            self._take(page.items, omission)
+
+    def _last_entry(self, page: protocol.KeyPage, entries: ClosableEntries) -> str | None:
+        """Name of the last entry on a page; None if there is none."""
+        prefix = self._prefix + entries.entry_prefix
+        names = [item.key[len(prefix) :] for item in page.items if item.key.startswith(prefix)]
+        return names[-1] if names else None
 
-    def _add_closing(
-        self, items: tuple[protocol.KeyValue, ...], omission: ClosedEntryOmission
-    ) -> None:
+    def _take(self, items: Iterable[protocol.KeyValue], omission: ClosedEntryOmission) -> None:
+        """Pass entries and closing keys on, and keep the other keys."""
         for item in items:
-            omission.add_closing(self._name(item), VersionedValue(item.value, item.revision))
+            name, value = self._name(item), VersionedValue(item.value, item.revision)
+            if not omission.add(name, value):
+                self.values[name] = value
 
-    def _keep(self, items: tuple[protocol.KeyValue, ...] | list[protocol.KeyValue]) -> None:
+    def _keep(self, items: Iterable[protocol.KeyValue]) -> None:
         for item in items:
             self.values[self._name(item)] = VersionedValue(item.value, item.revision)
 
--- a/tests/test_reads_without_finished_jobs.py
+++ b/tests/test_reads_without_finished_jobs.py
@@ -14,7 +14,7 @@
 
 from petrelthread.emulator.state_service import StateService
 from petrelthread.http import ClientResponse
-from petrelthread.state import ClusterState, StoredJobs
+from petrelthread.state import ClusterState, KeyKind, StoredJobs
 from petrelthread.store import (
     KEY_PREFIX,
     StateClient,
@@ -27,11 +27,12 @@
 from tests.virtual_time import run_in_virtual_time
 
 KEYS_A_PAGE = 7
+ALL_ON_ONE_PAGE = 1000
 RETAINED_JOBS = 4
 ALL_CHANGES = 100_000
-# With one key a page, the order is: first key, keys after the jobs, first job, its final status.
-PAGE_OF_THE_FIRST_JOB = 3
-PAGE_AFTER_THE_FIRST_JOB = 5
+# With one key a page, the order is: epoch, first final status, what follows the jobs, first job,
+# second job.
+PAGE_OF_THE_SECOND_JOB = 5
 FIRST_HISTORY, SECOND_HISTORY = 150, 80  # transactions
 
 
@@ -59,6 +60,13 @@
         return ClientResponse(status, orjson.dumps(response))
 
 
+def service_after_an_election() -> StateService:
+    """Return a state service in which a leader may have written records."""
+    service = StateService(8, lambda key, value, keys: None)
+    service.put(f"{KEY_PREFIX}{KeyKind.EPOCH}", 1)
+    return service
+
+
 def without_counts_of_cancelled(jobs: dict[str, Any]) -> dict[str, Any]:
     """Leave out how many tasks of a cancelled job have finished: those records are deleted."""
     return {
@@ -101,8 +109,9 @@
 
     async def main() -> None:
         randomness = random.Random(seed)
-        service = StateService(8, lambda key, value, keys: None)
-        service.max_page, service.kept_changes = KEYS_A_PAGE, ALL_CHANGES
+        service = service_after_an_election()
+        service.max_page = KEYS_A_PAGE if seed % 3 else ALL_ON_ONE_PAGE
+        service.kept_changes = ALL_CHANGES
         writer, reader = LongHistoryWriter(service, randomness), Reader(service)
         reader.state.finished_jobs.retained_count = seed % 3
         await writer.write(FIRST_HISTORY)
@@ -129,15 +138,15 @@
     """Guards against ``ran_cancelled``: the record of the start is newer than the pages read."""
 
     async def main() -> None:
-        service = StateService(8, lambda key, value, keys: None)
-        for job_id in ("wk-000001", "wk-000002"):
+        service = service_after_an_election()
+        for job_id in ("wk-000000", "wk-000001"):
             service.put(f"{KEY_PREFIX}j/{job_id}", stored_job(job_id, 1))
-        service.put(f"{KEY_PREFIX}f/wk-000002", "done")
+        service.put(f"{KEY_PREFIX}f/wk-000000", "done")
         reader = Reader(service)
         reader.state.finished_jobs.retained_count = 0
 
         async def start_and_cancel() -> None:
-            if reader.page_count == PAGE_OF_THE_FIRST_JOB:
+            if reader.page_count == PAGE_OF_THE_SECOND_JOB:
                 record = [["host-000001", 1, [["wk-000001", [0]]]]]
                 service.put(f"{KEY_PREFIX}r/1048577", record)
                 service.put(f"{KEY_PREFIX}f/wk-000001", "aborted")
@@ -152,9 +161,30 @@
     run_in_virtual_time(main())
 
 
-def test_the_most_recently_finished_jobs_are_kept_by_a_first_read() -> None:
+def test_a_store_without_an_election_is_read_in_order_without_an_empty_page() -> None:
+    """Before the first election there are no records, so that no page is read for references."""
+
     async def main() -> None:
         service = StateService(8, lambda key, value, keys: None)
+        for number in range(20):
+            service.put(f"{KEY_PREFIX}j/wk-{number:06d}", stored_job("wk-000000", 1))
+            service.put(f"{KEY_PREFIX}f/wk-{number:06d}", "done")
+        service.put(f"{KEY_PREFIX}j/wk-000020", stored_job("wk-000000", 1))
+        service.put(f"{KEY_PREFIX}options", {"idle_s": 7})
+        service.max_page = KEYS_A_PAGE
+        reader = Reader(service)
+        await reader.cache.load()
+        assert reader.page_count == 7  # three of final statuses, four of jobs and what follows
+        assert [job.id for job in reader.state.open_jobs.values()] == ["wk-000020"]
+        assert len(reader.state.jobs_by_id) == 1 + RETAINED_JOBS
+        assert reader.state.options.values == {"idle_s": 7}
+
+    run_in_virtual_time(main())
+
+
+def test_the_most_recently_finished_jobs_are_kept_by_a_first_read() -> None:
+    async def main() -> None:
+        service = service_after_an_election()
         service.max_page = KEYS_A_PAGE
         finished = [f"wk-{number:06d}" for number in range(40)]
         random.Random(1).shuffle(finished)
@@ -165,7 +195,7 @@
         reader = Reader(service)
         await reader.cache.load()
         assert reader.state.jobs_by_id.keys() == set(finished[-RETAINED_JOBS:])
-        assert not reader.cache.revisions
+        assert reader.cache.revisions.keys() == {KeyKind.EPOCH}
 
     run_in_virtual_time(main())
 
@@ -177,7 +207,7 @@
     monkeypatch.setattr(snapshot, "MAX_UNREAD_REVISIONS", 10)
 
     async def main() -> None:
-        service = StateService(8, lambda key, value, keys: None)
+        service = service_after_an_election()
         service.max_page = KEYS_A_PAGE
         writer, reader = LongHistoryWriter(service, random.Random(3)), Reader(service)
         await writer.write(FIRST_HISTORY)
@@ -200,7 +230,7 @@
     """A watch may show a job, but not yet its end, after the reload has omitted it as finished."""
 
     async def main() -> None:
-        service = StateService(8, lambda key, value, keys: None)
+        service = service_after_an_election()
         for job_id in ("wk-000001", "wk-000002"):
             service.put(f"{KEY_PREFIX}j/{job_id}", stored_job(job_id, 1))
             service.put(f"{KEY_PREFIX}f/{job_id}", "done")
@@ -208,7 +238,7 @@
         reader.state.finished_jobs.retained_count = 0
 
         async def show_as_open() -> None:
-            if reader.page_count == PAGE_AFTER_THE_FIRST_JOB:
+            if reader.page_count == PAGE_OF_THE_SECOND_JOB:
                 reader.state.on_key("j/wk-000001", stored_job("wk-000001", 1), 2)
 
         service.max_page = 1
